--- /dev/null
+++ b/cmd/quillshunt/serve.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"runtime"
+	"runtime/debug"
+
+	// The program is linked against the system's C library, which package net brings in by its resolver.
+	_ "net"
+
+	"quillshunt/internal/config"
+	"quillshunt/internal/coordination/election"
+	"quillshunt/internal/coordination/gateway"
+	"quillshunt/internal/coordination/leader"
+	"quillshunt/internal/coordination/peer"
+	"quillshunt/internal/limits"
+	"quillshunt/internal/storage"
+	"quillshunt/internal/transport"
+)
+
+// serve runs a controller until a part of it fails for good or the context ends.
+func serve(ctx context.Context, s *config.Settings, log *slog.Logger) error {
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	log = log.With("node", s.NodeName)
+	debug.SetMemoryLimit(int64(s.Facts.Machine.MemoryMB * limits.HeapShare * (1 << 20)))
+	runtime.GOMAXPROCS(limits.Procs)
+
+	store := storage.New(s.External.State, s.Facts.State, len(s.Members)+1)
+	desk := leader.NewDesk(s, store, leader.NewCloud(s.External.Cloud, s.Facts.Cloud.RPS), log)
+	elector := election.New(s.NodeName, store, limits.HoldLife, desk.Lead, log)
+	desk.OnLost(elector.Lost)
+	peers, err := peer.Dial(s.Members)
+	if err != nil {
+		return err
+	}
+	front := &gateway.Gateway{Node: s.NodeName, Store: store, Desk: desk, Peers: peers, Leader: elector.Leader, Settings: s, Log: log}
+	front.Start(ctx)
+	server := &transport.Server{
+		Addr:     s.ClientListen,
+		MaxConns: int(float64(s.Facts.Machine.MaxSockets) * limits.InboundShare),
+		Handle:   front.Handle,
+		Log:      log,
+	}
+
+	log.Info("starting", "version", version, "listen", s.ClientListen, "peers", len(s.Members))
+	failed := make(chan error, 2)
+	go elector.Run(ctx)
+	go func() { failed <- peer.NewServer(desk).Run(ctx, s.PeerBind) }()
+	go func() { failed <- server.Run(ctx) }()
+	return <-failed
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,201 @@
+// Package config reads and checks the settings file that the platform hands over.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+)
+
+// Settings are a controller's settings. Fields we do not know are ignored.
+type Settings struct {
+	NodeName     string   `json:"node_name"`
+	Zone         string   `json:"zone"`
+	ClientListen string   `json:"client_listen"`
+	PeerBind     string   `json:"peer_bind"`
+	Members      []Member `json:"members"`
+	External     External `json:"external"`
+	Facts        Facts    `json:"facts"`
+}
+
+// Member is another controller.
+type Member struct {
+	NodeName string `json:"node_name"`
+	Zone     string `json:"zone"`
+	Address  string `json:"address"`
+}
+
+// External names the services that we depend on.
+type External struct {
+	Cloud string `json:"cloud"`
+	State string `json:"state"`
+}
+
+// Facts describe the deployment.
+type Facts struct {
+	InitialSize int           `json:"initial_size"`
+	Zones       []string      `json:"zones"`
+	Teams       []Team        `json:"teams"`
+	Objectives  []Objective   `json:"objectives"`
+	Workers     Workers       `json:"workers"`
+	State       State         `json:"state"`
+	Cloud       Cloud         `json:"cloud"`
+	Machine     MachineLimits `json:"machine_limits"`
+	SkewMs      float64       `json:"skew_ms"`
+}
+
+// Team has a guarantee and a limit. Zero means none.
+type Team struct {
+	Name    string  `json:"name"`
+	CPUs    float64 `json:"cpus"`
+	CPUsMax float64 `json:"cpus_max"`
+	GPUs    float64 `json:"gpus"`
+	GPUsMax float64 `json:"gpus_max"`
+}
+
+// Objective is an aim for a class of jobs.
+type Objective struct {
+	Kind    string  `json:"kind"`
+	Class   string  `json:"class"`
+	WithinS float64 `json:"within_s"`
+	Share   float64 `json:"share"`
+	Times   float64 `json:"times"`
+}
+
+// Workers are the times that workers keep.
+type Workers struct {
+	ReportS float64 `json:"report_s"`
+	LeaseS  float64 `json:"lease_s"`
+	CancelS float64 `json:"cancel_s"`
+}
+
+// State are the limits of the state service.
+type State struct {
+	RPS      float64 `json:"rps"`
+	WriteRPS float64 `json:"write_rps"`
+	ValueKB  float64 `json:"value_kb"`
+	TxnOps   int     `json:"txn_ops"`
+}
+
+// Cloud are the limits of the cloud.
+type Cloud struct {
+	RPS      float64 `json:"rps"`
+	ListLagS float64 `json:"list_lag_s"`
+}
+
+// MachineLimits are the limits of the machine that a controller runs on.
+type MachineLimits struct {
+	CoreShare  float64 `json:"core_share"`
+	MemoryMB   float64 `json:"memory_mb"`
+	MaxSockets int     `json:"max_sockets"`
+}
+
+// Load reads and checks the file at path.
+func Load(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(b)
+}
+
+// Parse reads and checks settings. The error names the field at fault.
+func Parse(b []byte) (*Settings, error) {
+	var s Settings
+	if err := json.Unmarshal(b, &s); err != nil {
+		var te *json.UnmarshalTypeError
+		if errors.As(err, &te) {
+			return nil, fmt.Errorf("settings: %s: must be %s, got %s", te.Field, te.Type, te.Value)
+		}
+		return nil, fmt.Errorf("settings: not JSON: %w", err)
+	}
+	if err := s.check(); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return &s, nil
+}
+
+func (s *Settings) check() error {
+	text := func(field, v string) error {
+		if v == "" {
+			return fmt.Errorf("%s: missing", field)
+		}
+		return nil
+	}
+	addr := func(field, v string) error {
+		if _, err := netip.ParseAddrPort(v); err != nil {
+			return fmt.Errorf("%s: %q is not an address like 10.0.0.1:8080", field, v)
+		}
+		return nil
+	}
+	pos := func(field string, v float64) error {
+		if !(v > 0) || math.IsInf(v, 0) {
+			return fmt.Errorf("%s: must be above 0, got %v", field, v)
+		}
+		return nil
+	}
+	errs := []error{
+		text("node_name", s.NodeName),
+		addr("client_listen", s.ClientListen),
+		addr("peer_bind", s.PeerBind),
+		addr("external.cloud", s.External.Cloud),
+		addr("external.state", s.External.State),
+		pos("facts.workers.report_s", s.Facts.Workers.ReportS),
+		pos("facts.workers.lease_s", s.Facts.Workers.LeaseS),
+		pos("facts.workers.cancel_s", s.Facts.Workers.CancelS),
+		pos("facts.state.rps", s.Facts.State.RPS),
+		pos("facts.state.write_rps", s.Facts.State.WriteRPS),
+		pos("facts.state.value_kb", s.Facts.State.ValueKB),
+		pos("facts.cloud.rps", s.Facts.Cloud.RPS),
+		pos("facts.machine_limits.memory_mb", s.Facts.Machine.MemoryMB),
+	}
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	if s.Facts.State.TxnOps < 4 {
+		return fmt.Errorf("facts.state.txn_ops: must be at least 4, got %d", s.Facts.State.TxnOps)
+	}
+	if s.Facts.Machine.MaxSockets < 32 {
+		return fmt.Errorf("facts.machine_limits.max_sockets: must be at least 32, got %d", s.Facts.Machine.MaxSockets)
+	}
+	if !(s.Facts.Cloud.ListLagS >= 0) {
+		return fmt.Errorf("facts.cloud.list_lag_s: must not be negative")
+	}
+	names := map[string]bool{s.NodeName: true}
+	for i, m := range s.Members {
+		if err := text(fmt.Sprintf("members[%d].node_name", i), m.NodeName); err != nil {
+			return err
+		}
+		if names[m.NodeName] {
+			return fmt.Errorf("members[%d].node_name: %q appears twice", i, m.NodeName)
+		}
+		names[m.NodeName] = true
+		if err := addr(fmt.Sprintf("members[%d].address", i), m.Address); err != nil {
+			return err
+		}
+	}
+	if len(s.Facts.Teams) == 0 {
+		return errors.New("facts.teams: missing")
+	}
+	teams := map[string]bool{}
+	for i, t := range s.Facts.Teams {
+		if err := text(fmt.Sprintf("facts.teams[%d].name", i), t.Name); err != nil {
+			return err
+		}
+		if teams[t.Name] {
+			return fmt.Errorf("facts.teams[%d].name: %q appears twice", i, t.Name)
+		}
+		teams[t.Name] = true
+		for f, v := range map[string]float64{"cpus": t.CPUs, "cpus_max": t.CPUsMax, "gpus": t.GPUs, "gpus_max": t.GPUsMax} {
+			if !(v >= 0) {
+				return fmt.Errorf("facts.teams[%d].%s: must not be negative", i, f)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/coordination/election/election.go
@@ -0,0 +1,233 @@
+// Package election chooses the leading controller: a key attached to a hold in
+// the state service, and a term that is never used twice.
+package election
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"quillshunt/internal/limits"
+	"quillshunt/internal/protocol"
+	"quillshunt/internal/storage"
+)
+
+// Store is what the election needs of the state service.
+type Store interface {
+	Get(ctx context.Context, key string) (protocol.Pair, error)
+	Txn(ctx context.Context, t protocol.Txn) (uint64, error)
+	CreateHold(ctx context.Context, life time.Duration) (uint64, error)
+	Touch(ctx context.Context, tenure uint64) error
+	Watch(ctx context.Context, prefix string, since uint64) (protocol.WatchReply, error)
+}
+
+// Mandate is one term of leadership. Its entitlement is read by other goroutines.
+type Mandate struct {
+	Term  uint64
+	Stamp uint64 // of the leader key; guards every write of the term
+	start time.Time
+	until atomic.Int64 // nanoseconds after start
+}
+
+// NewMandate returns a mandate that is entitled until the given time.
+func NewMandate(term, stamp uint64, until time.Time) *Mandate {
+	m := &Mandate{Term: term, Stamp: stamp, start: time.Now()}
+	m.extend(until)
+	return m
+}
+
+func (m *Mandate) extend(until time.Time) {
+	if d := int64(until.Sub(m.start)); d > m.until.Load() {
+		m.until.Store(d)
+	}
+}
+
+// Entitled tells whether we are surely the leader at this moment. The process may lose its core right after, so
+// whatever follows is also fenced by the term, the stamp, or a name that is never used again.
+func (m *Mandate) Entitled() bool { return int64(time.Since(m.start)) < m.until.Load() }
+
+// Guard makes a write fail once there is another leader.
+func (m *Mandate) Guard() protocol.Guard {
+	return protocol.Guard{Path: storage.KeyLeader, Stamp: m.Stamp}
+}
+
+// Elector takes part in elections. Lead is called with each mandate and must return soon after its context ends.
+type Elector struct {
+	Node  string
+	Store Store
+	Life  time.Duration
+	Lead  func(ctx context.Context, m *Mandate)
+	Log   *slog.Logger
+
+	nonce  uint64
+	leader atomic.Pointer[string]
+	lost   chan uint64
+}
+
+// New returns an Elector.
+func New(node string, store Store, life time.Duration, lead func(context.Context, *Mandate), log *slog.Logger) *Elector {
+	return &Elector{Node: node, Store: store, Life: life, Lead: lead, Log: log,
+		nonce: rand.Uint64() >> 1, lost: make(chan uint64, 1)}
+}
+
+// Leader is the name of the leader as far as we know, or "".
+func (e *Elector) Leader() string {
+	if p := e.leader.Load(); p != nil {
+		return *p
+	}
+	return ""
+}
+
+func (e *Elector) setLeader(name string) { e.leader.Store(&name) }
+
+// Lost tells the elector that a write or a worker showed that the term is over.
+func (e *Elector) Lost(term uint64) {
+	select {
+	case e.lost <- term:
+	default:
+	}
+}
+
+// Run takes part until the context ends.
+func (e *Elector) Run(ctx context.Context) {
+	var back storage.Backoff
+	for ctx.Err() == nil {
+		err := e.round(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			back.Reset()
+			continue
+		}
+		e.Log.Debug("election", "err", err)
+		if !back.Wait(ctx) {
+			return
+		}
+	}
+}
+
+// round looks at the leader key once: it waits for a change of a living leader, or campaigns.
+func (e *Elector) round(ctx context.Context) error {
+	p, err := e.Store.Get(ctx, storage.KeyLeader)
+	if err != nil {
+		return fmt.Errorf("read leader: %w", err)
+	}
+	if p.Stamp != 0 {
+		var l storage.Leader
+		if err := protocol.Decode(p.Data, &l); err != nil {
+			return fmt.Errorf("read leader: %w", err)
+		}
+		if l.Node != e.Node {
+			e.setLeader(l.Node)
+			_, err := e.Store.Watch(ctx, storage.KeyLeader, p.Stamp)
+			if err != nil && !errors.Is(err, storage.ErrGone) {
+				return fmt.Errorf("watch leader: %w", err)
+			}
+			return nil
+		}
+		// The key carries our own name. Only one process of a name lives, so the one that wrote it is over
+		// (or it is this one, and its term was given up); the guard on its stamp makes the replacement safe.
+	}
+	e.setLeader("")
+	return e.campaign(ctx, p.Stamp)
+}
+
+func (e *Elector) campaign(ctx context.Context, stamp uint64) error {
+	tp, err := e.Store.Get(ctx, storage.KeyTerm)
+	if err != nil {
+		return fmt.Errorf("read term: %w", err)
+	}
+	var last storage.Term
+	if tp.Stamp != 0 {
+		if err := protocol.Decode(tp.Data, &last); err != nil {
+			return fmt.Errorf("read term: %w", err)
+		}
+	}
+	sent := time.Now()
+	tenure, err := e.Store.CreateHold(ctx, e.Life)
+	if err != nil {
+		return fmt.Errorf("create hold: %w", err)
+	}
+	me := storage.Leader{Node: e.Node, Term: last.Term + 1, Nonce: e.nonce}
+	rev, err := e.Store.Txn(ctx, protocol.Txn{
+		Guards: []protocol.Guard{{Path: storage.KeyLeader, Stamp: stamp}, {Path: storage.KeyTerm, Stamp: tp.Stamp}},
+		Apply: []protocol.Op{
+			{Write: storage.KeyLeader, Data: protocol.Encode(me), Tenure: tenure},
+			{Write: storage.KeyTerm, Data: protocol.Encode(storage.Term{Term: me.Term})},
+		},
+	})
+	var conflict *storage.Conflict
+	switch {
+	case errors.As(err, &conflict):
+		e.Log.Info("election lost", "term", me.Term)
+		return nil
+	case errors.Is(err, storage.ErrUnclear):
+		// It may have been carried out: the key tells. If it is not there yet, the guards keep it out once
+		// somebody else has won, and a later round of ours finds it under our own name.
+		p, gerr := e.Store.Get(ctx, storage.KeyLeader)
+		if gerr != nil {
+			return fmt.Errorf("read leader after unclear election: %w", gerr)
+		}
+		var l storage.Leader
+		if p.Stamp == 0 || protocol.Decode(p.Data, &l) != nil || l != me || p.Tenure != tenure {
+			return fmt.Errorf("campaign: %w", err)
+		}
+		rev = p.Stamp
+	case err != nil:
+		return fmt.Errorf("campaign: %w", err)
+	}
+	m := NewMandate(me.Term, rev, sent.Add(limits.Entitled(e.Life)))
+	e.lead(ctx, m, tenure)
+	return nil
+}
+
+// lead runs a term: it renews the hold until the hold or the term is over.
+func (e *Elector) lead(ctx context.Context, m *Mandate, tenure uint64) {
+	e.Log.Info("leading", "term", m.Term, "stamp", m.Stamp)
+	e.setLeader(e.Node)
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.Lead(ctx, m)
+	}()
+	defer func() {
+		cancel()
+		<-done
+		e.setLeader("")
+		e.Log.Info("term over", "term", m.Term)
+	}()
+	tick := time.NewTicker(limits.TouchEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-done:
+			return
+		case term := <-e.lost:
+			if term == m.Term {
+				e.Log.Warn("term ended by another leader", "term", m.Term)
+				return
+			}
+		case <-tick.C:
+			sent := time.Now()
+			err := e.Store.Touch(ctx, tenure)
+			switch {
+			case err == nil:
+				// After an outage this may come long after we stopped being entitled. As the hold has lived all the
+				// while, nobody else can have led, and the term goes on.
+				m.extend(sent.Add(limits.Entitled(e.Life)))
+			case errors.Is(err, storage.ErrNoHold):
+				return
+			default:
+				e.Log.Debug("touch", "term", m.Term, "err", err)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/gateway/gateway.go
@@ -0,0 +1,407 @@
+// Package gateway is the front door: it sorts what arrives, answers users from the state service, and
+// sends workers to the leader.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"quillshunt/internal/config"
+	"quillshunt/internal/coordination/leader"
+	"quillshunt/internal/coordination/peer"
+	"quillshunt/internal/coordination/scheduler"
+	"quillshunt/internal/limits"
+	"quillshunt/internal/protocol"
+	"quillshunt/internal/storage"
+	"quillshunt/internal/transport"
+)
+
+// Gateway handles requests. Handle runs on the server's loop and never blocks; users' requests
+// are worked on in a stage of bounded size.
+type Gateway struct {
+	Node     string
+	Store    *storage.Store
+	Desk     *leader.Desk
+	Peers    *peer.Peers
+	Leader   func() string // name of the leading node, or ""
+	Settings *config.Settings
+	Log      *slog.Logger
+
+	ctx    context.Context
+	stage  chan struct{}
+	types  atomic.Pointer[[]protocol.Rigkind]
+	finals finals
+}
+
+// Start prepares the gateway; its work ends with the context.
+func (g *Gateway) Start(ctx context.Context) {
+	g.ctx = ctx
+	g.stage = make(chan struct{}, limits.UserStage)
+	g.finals.m = map[string]string{}
+	go g.followTypes(ctx)
+}
+
+// followTypes keeps the machine types up to date.
+func (g *Gateway) followTypes(ctx context.Context) {
+	var back storage.Backoff
+	for {
+		p, err := g.Store.Get(ctx, storage.KeyTypes)
+		var t storage.Types
+		if err == nil && p.Stamp != 0 && protocol.Decode(p.Data, &t) == nil {
+			g.types.Store(&t.Rigkinds)
+			back.Reset()
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(limits.TypesEvery):
+			}
+			continue
+		}
+		if !back.Wait(ctx) {
+			return
+		}
+	}
+}
+
+// Handle takes a request.
+func (g *Gateway) Handle(req *transport.Message, rsp *transport.Responder) {
+	switch req.Path {
+	case "/healthz":
+		if req.Method != "GET" {
+			rsp.Respond(405, nil, 0)
+			return
+		}
+		rsp.Respond(200, nil, 0)
+		return
+	case "/v1/report":
+		if req.Method != "POST" {
+			rsp.Respond(405, nil, 0)
+			return
+		}
+		g.report(req, rsp)
+		return
+	}
+	method, id, action, ok := route(req.Path)
+	if !ok {
+		rsp.Respond(404, nil, 0)
+		return
+	}
+	if req.Method != method {
+		rsp.Respond(405, nil, 0)
+		return
+	}
+	// A full stage is told at once to come back, before any work is spent on the request.
+	select {
+	case g.stage <- struct{}{}:
+	default:
+		rsp.Respond(503, nil, limits.RetryAfter)
+		return
+	}
+	go func() {
+		defer func() { <-g.stage }()
+		limit := limits.SubmitAnswer
+		if action == show {
+			limit = limits.UserAnswer
+		}
+		ctx, cancel := context.WithTimeout(g.ctx, limit)
+		defer cancel()
+		var status int
+		var body any
+		switch action {
+		case submit:
+			status, body = g.submit(ctx, req.Body)
+		case show:
+			status, body = g.show(ctx, id)
+		case cancelRun:
+			status, body = g.cancel(ctx, id)
+		}
+		var b []byte
+		if body != nil {
+			b = protocol.Encode(body)
+		}
+		after := 0
+		if status == 503 {
+			after = limits.RetryAfter
+		}
+		rsp.Respond(status, b, after)
+	}()
+}
+
+type action uint8
+
+const (
+	submit action = iota
+	show
+	cancelRun
+)
+
+// route finds the method and action of a users' path.
+func route(path string) (method, id string, a action, ok bool) {
+	rest, ok := strings.CutPrefix(path, "/v2/runs")
+	if !ok {
+		return "", "", 0, false
+	}
+	if rest == "" {
+		return "POST", "", submit, true
+	}
+	if rest[0] != '/' {
+		return "", "", 0, false
+	}
+	id, verb, more := strings.Cut(rest[1:], "/")
+	switch {
+	case id == "":
+		return "", "", 0, false
+	case !more:
+		return "GET", id, show, true
+	case verb == "cancel":
+		return "POST", id, cancelRun, true
+	}
+	return "", "", 0, false
+}
+
+// report hands a worker's report to the leader here, or sends the worker to where the leader is.
+func (g *Gateway) report(req *transport.Message, rsp *transport.Responder) {
+	if !g.Desk.Leads() {
+		name := g.Leader()
+		if name == g.Node {
+			name = ""
+		}
+		rsp.Respond(421, protocol.Encode(protocol.Redirect{Foreman: name}), 0)
+		return
+	}
+	var r protocol.Report
+	if err := protocol.Decode(req.Body, &r); err != nil || !r.Valid() {
+		rsp.Respond(400, nil, 0)
+		return
+	}
+	g.Desk.Report(&r, func(status int, body []byte) { rsp.Respond(status, body, 0) })
+}
+
+type problem struct {
+	Error string `cbor:"error"`
+}
+
+func (g *Gateway) away(err error) (int, any) {
+	g.Log.Debug("user told to come back", "err", err)
+	return 503, problem{Error: "not now"}
+}
+
+// submit accepts a job: the answer is given only after the record is known to be written.
+func (g *Gateway) submit(ctx context.Context, body []byte) (int, any) {
+	spec, err := protocol.ParseSpec(body)
+	if err != nil {
+		return 400, problem{Error: err.Error()}
+	}
+	types := g.types.Load()
+	if types == nil {
+		return g.away(errors.New("machine types not known yet"))
+	}
+	if why := g.refusal(spec, *types); why != "" {
+		// A job that was accepted stays accepted, even if the types have changed since.
+		st, known, err := g.standing(ctx, spec.NameId)
+		if err != nil {
+			return g.away(err)
+		}
+		if known {
+			return 200, st
+		}
+		return 422, problem{Error: why}
+	}
+	rec := storage.Open{Spec: *spec, AtMs: time.Now().UnixMilli()}
+	if !storage.Fits(rec, g.Settings.Facts.State.ValueKB) {
+		return 400, problem{Error: "too long"}
+	}
+	txn := protocol.Txn{
+		Guards: []protocol.Guard{{Path: storage.OpenKey(spec.NameId)}, {Path: storage.FinalKey(spec.NameId)}},
+		Apply:  []protocol.Op{{Write: storage.OpenKey(spec.NameId), Data: protocol.Encode(rec)}},
+	}
+	var back storage.Backoff
+	unclear := false
+	for {
+		_, err := g.Store.Txn(ctx, txn)
+		var conflict *storage.Conflict
+		switch {
+		case err == nil:
+			return 201, protocol.JobStatus{NameId: spec.NameId, Standing: protocol.Pending}
+		case errors.As(err, &conflict):
+			st, known, err := g.standing(ctx, spec.NameId)
+			if err != nil {
+				return g.away(err)
+			}
+			if known {
+				if unclear && st.Standing == protocol.Pending {
+					return 201, st
+				}
+				return 200, st
+			}
+			return g.away(errors.New("job came and went")) // cannot be: records are only moved
+		case errors.Is(err, storage.ErrBadRequest):
+			g.Log.Error("submission not storable", "job", spec.NameId, "err", err)
+			return 400, problem{Error: "cannot be stored"}
+		}
+		// Repeated as it is: the guards make sure that it is written once.
+		unclear = unclear || errors.Is(err, storage.ErrUnclear)
+		if !back.Wait(ctx) {
+			return g.away(err)
+		}
+	}
+}
+
+// refusal says why a job can never run, or "".
+func (g *Gateway) refusal(spec *protocol.Spec, types []protocol.Rigkind) string {
+	for _, t := range g.Settings.Facts.Teams {
+		if t.Name == spec.Crew {
+			if !scheduler.Runnable(spec, types, t.CPUsMax, t.GPUsMax) {
+				return "no allowed machine type holds a task, or the team's limit is below one task"
+			}
+			return ""
+		}
+	}
+	return "unknown team"
+}
+
+// standing reads a job's state. It looks at the open record first and then at the final one; as a job moves from the one to the other in one
+// transaction, it is never missed.
+func (g *Gateway) standing(ctx context.Context, id string) (protocol.JobStatus, bool, error) {
+	st := protocol.JobStatus{NameId: id}
+	if f, ok := g.finals.get(id); ok {
+		st.Standing = f
+		return st, true, nil
+	}
+	p, err := g.Store.Get(ctx, storage.OpenKey(id))
+	if err != nil {
+		return st, false, fmt.Errorf("read %s: %w", id, err)
+	}
+	if p.Stamp != 0 {
+		var o storage.Open
+		if err := protocol.Decode(p.Data, &o); err != nil {
+			return st, false, fmt.Errorf("read %s: %w", id, err)
+		}
+		st.Standing = protocol.Pending
+		if o.Cancelled {
+			st.Standing = protocol.Aborted
+		}
+		return st, true, nil
+	}
+	p, err = g.Store.Get(ctx, storage.FinalKey(id))
+	if err != nil {
+		return st, false, fmt.Errorf("read %s: %w", id, err)
+	}
+	if p.Stamp == 0 {
+		return st, false, nil
+	}
+	var f storage.Final
+	if err := protocol.Decode(p.Data, &f); err != nil {
+		return st, false, fmt.Errorf("read %s: %w", id, err)
+	}
+	g.finals.put(id, f.Standing)
+	st.Standing = f.Standing
+	return st, true, nil
+}
+
+// show answers a poll.
+func (g *Gateway) show(ctx context.Context, id string) (int, any) {
+	if !protocol.ValidJobID(id) {
+		return 404, problem{Error: "no such job"}
+	}
+	st, known, err := g.standing(ctx, id)
+	if err != nil {
+		return g.away(err)
+	}
+	if !known {
+		return 404, problem{Error: "no such job"}
+	}
+	if st.Standing == protocol.Pending {
+		if c, ok := g.counts(ctx, id); ok {
+			st.Done, st.Running = &c.Done, &c.Running
+			if c.Running > 0 {
+				st.Standing = protocol.Running
+			}
+		}
+	}
+	return 200, st
+}
+
+func (g *Gateway) counts(ctx context.Context, id string) (peer.Counts, bool) {
+	if g.Desk.Leads() {
+		return g.Desk.Counts(ctx, id)
+	}
+	return g.Peers.Counts(ctx, g.Leader(), id)
+}
+
+// cancel marks a job as cancelled. The leader hears of it through its watch.
+func (g *Gateway) cancel(ctx context.Context, id string) (int, any) {
+	if !protocol.ValidJobID(id) {
+		return 404, problem{Error: "no such job"}
+	}
+	var back storage.Backoff
+	for {
+		p, err := g.Store.Get(ctx, storage.OpenKey(id))
+		if err == nil && p.Stamp == 0 {
+			st, known, serr := g.standing(ctx, id)
+			if serr == nil && !known {
+				return 404, problem{Error: "no such job"}
+			}
+			if serr == nil && (st.Standing == protocol.Done || st.Standing == protocol.Aborted) {
+				return 200, st
+			}
+			err = serr
+		} else if err == nil {
+			var o storage.Open
+			if err = protocol.Decode(p.Data, &o); err == nil {
+				if o.Cancelled {
+					return 200, protocol.JobStatus{NameId: id, Standing: protocol.Aborted}
+				}
+				o.Cancelled = true
+				_, err = g.Store.Txn(ctx, protocol.Txn{
+					Guards: []protocol.Guard{{Path: storage.OpenKey(id), Stamp: p.Stamp}},
+					Apply:  []protocol.Op{{Write: storage.OpenKey(id), Data: protocol.Encode(o)}},
+				})
+				if err == nil {
+					return 200, protocol.JobStatus{NameId: id, Standing: protocol.Aborted}
+				}
+				// A conflict means that it finished or was cancelled meanwhile: look again.
+			}
+		}
+		if !back.Wait(ctx) {
+			return g.away(err)
+		}
+	}
+}
+
+// finals caches final states, which never change.
+type finals struct {
+	mu   sync.Mutex
+	m    map[string]string
+	ring []string
+	next int
+}
+
+func (f *finals) get(id string) (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.m[id]
+	return s, ok
+}
+
+func (f *finals) put(id, standing string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, ok := f.m[id]; ok {
+		return
+	}
+	f.m[id] = standing
+	if len(f.ring) < limits.FinalCache {
+		f.ring = append(f.ring, id)
+		return
+	}
+	delete(f.m, f.ring[f.next])
+	f.ring[f.next] = id
+	f.next = (f.next + 1) % limits.FinalCache
+}
--- /dev/null
+++ b/internal/coordination/leader/cloud.go
@@ -0,0 +1,209 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/url"
+	"strconv"
+
+	"golang.org/x/time/rate"
+
+	"quillshunt/internal/coordination/scheduler"
+	"quillshunt/internal/limits"
+	"quillshunt/internal/protocol"
+	"quillshunt/internal/storage"
+	"quillshunt/internal/transport"
+)
+
+// Cloud calls the cloud within its rate. Only the leader rents; two terms may overlap for a moment, so we
+// stay a little below the limit.
+type Cloud struct {
+	http  *transport.Client
+	limit *rate.Limiter
+}
+
+// NewCloud returns a Cloud.
+func NewCloud(addr string, rps float64) *Cloud {
+	return &Cloud{
+		http:  transport.NewClient(addr, 2, limits.MaxUpstreamBytes),
+		limit: rate.NewLimiter(rate.Limit(rps*limits.CloudShare), max(1, int(rps))),
+	}
+}
+
+var errCloud = errors.New("cloud")
+
+// call sends one request. Statuses other than 200 come as errors unless they are in pass.
+func (c *Cloud) call(ctx context.Context, method, target string, body []byte) (*transport.Message, error) {
+	if err := c.limit.Wait(ctx); err != nil {
+		return nil, fmt.Errorf("%w: rate: %w", errCloud, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, limits.CloudTimeout)
+	defer cancel()
+	return c.http.Do(ctx, method, target, body)
+}
+
+// Types reads the machine types.
+func (c *Cloud) Types(ctx context.Context) ([]protocol.Rigkind, error) {
+	m, err := c.call(ctx, "GET", "/machine_types", nil)
+	if err != nil {
+		return nil, err
+	}
+	if m.Status != 200 {
+		return nil, fmt.Errorf("%w: types: status %d", errCloud, m.Status)
+	}
+	var l protocol.RigkindList
+	if err := protocol.Decode(m.Body, &l); err != nil {
+		return nil, fmt.Errorf("types: %w", err)
+	}
+	if len(l.Rigkinds) == 0 {
+		return nil, fmt.Errorf("%w: no machine types", errCloud)
+	}
+	return l.Rigkinds, nil
+}
+
+// hire sends a rental request until there is an answer.
+func (t *term) hire(ctx context.Context, req protocol.HireRequest) {
+	var back storage.Backoff
+	body := protocol.Encode(req)
+	for {
+		if t.m.Entitled() {
+			m, err := t.d.cloud.call(ctx, "POST", "/rentals", body)
+			switch {
+			case err == nil && m.Status == 200:
+				var r protocol.HireReply
+				if err = protocol.Decode(m.Body, &r); err == nil {
+					t.post(ctx, scheduler.HireDone{Name: req.Hire, Rigs: r.Rigs, OK: true})
+					return
+				}
+			case err == nil && m.Status == 503:
+				var r struct {
+					Error string `cbor:"error"`
+				}
+				if protocol.Decode(m.Body, &r) == nil && r.Error == "no capacity" {
+					t.post(ctx, scheduler.HireDone{Name: req.Hire, NoCapacity: true})
+					return
+				}
+				err = fmt.Errorf("%w: %s", errCloud, r.Error)
+			case err == nil && m.Status == 400:
+				t.log.Error("rental rejected", "request", req.Hire)
+				t.post(ctx, scheduler.HireDone{Name: req.Hire, NoCapacity: true})
+				return
+			case err == nil:
+				err = fmt.Errorf("%w: rental: status %d", errCloud, m.Status)
+			}
+			t.log.Info("rental not answered", "request", req.Hire, "err", err)
+		}
+		if !back.Wait(ctx) {
+			return
+		}
+	}
+}
+
+// remove returns machines; the scheduler repeats it until it is confirmed.
+func (t *term) remove(ctx context.Context, rigs []string) {
+	done := scheduler.DeleteDone{Rigs: rigs}
+	if t.m.Entitled() {
+		m, err := t.d.cloud.call(ctx, "POST", "/rentals/delete", protocol.Encode(protocol.DeleteRequest{Rigs: rigs}))
+		if err == nil && m.Status != 200 {
+			err = fmt.Errorf("%w: delete: status %d", errCloud, m.Status)
+		}
+		if done.OK = err == nil; !done.OK {
+			t.log.Info("deletion not confirmed", "machines", len(rigs), "err", err)
+		}
+	}
+	t.post(ctx, done)
+}
+
+// list reads the cloud's machines.
+func (t *term) list(ctx context.Context) {
+	done := scheduler.ListDone{OK: true}
+	since := ""
+	for {
+		target := "/rentals?Limit=" + strconv.Itoa(limits.ListPage)
+		if since != "" {
+			target += "&Since=" + url.QueryEscape(since)
+		}
+		m, err := t.d.cloud.call(ctx, "GET", target, nil)
+		if err == nil && m.Status != 200 {
+			err = fmt.Errorf("%w: list: status %d", errCloud, m.Status)
+		}
+		var l protocol.RigList
+		if err == nil {
+			err = protocol.Decode(m.Body, &l)
+		}
+		if err != nil {
+			t.log.Debug("list", "err", err)
+			t.post(ctx, scheduler.ListDone{})
+			return
+		}
+		done.Rigs = append(done.Rigs, l.Rigs...)
+		if !l.Truncated || len(l.Rigs) == 0 {
+			t.post(ctx, done)
+			return
+		}
+		since = l.Rigs[len(l.Rigs)-1].NameId
+	}
+}
+
+// types reads the machine types, and keeps them in the state service for all nodes.
+func (t *term) types(ctx context.Context) {
+	list, err := t.d.cloud.Types(ctx)
+	if err != nil {
+		t.log.Info("no machine types", "err", err)
+		t.post(ctx, scheduler.TypesDone{})
+		return
+	}
+	t.post(ctx, scheduler.TypesDone{Types: list, OK: true})
+	var back storage.Backoff
+	for {
+		err := t.keepTypes(ctx, list)
+		if err == nil {
+			return
+		}
+		t.log.Debug("keep machine types", "err", err)
+		if !back.Wait(ctx) {
+			return
+		}
+	}
+}
+
+func (t *term) keepTypes(ctx context.Context, list []protocol.Rigkind) error {
+	p, err := t.d.store.Get(ctx, storage.KeyTypes)
+	if err != nil {
+		return err
+	}
+	var old storage.Types
+	if p.Stamp != 0 && protocol.Decode(p.Data, &old) == nil && sameShapes(old.Rigkinds, list) {
+		return nil
+	}
+	_, err = t.d.store.Txn(ctx, protocol.Txn{
+		Guards: []protocol.Guard{t.m.Guard(), {Path: storage.KeyTypes, Stamp: p.Stamp}},
+		Apply:  []protocol.Op{{Write: storage.KeyTypes, Data: protocol.Encode(storage.Types{Rigkinds: list})}},
+	})
+	var conflict *storage.Conflict
+	if errors.As(err, &conflict) && conflict.Has(storage.KeyLeader) {
+		t.d.lost(t.m.Term)
+		return nil
+	}
+	return err
+}
+
+// sameShapes compares types but for their prices, which move all the time.
+func sameShapes(a, b []protocol.Rigkind) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		x, y := a[i], b[i]
+		if x.Sku != y.Sku || x.Vcpus != y.Vcpus || x.Accelerators != y.Accelerators || x.RamGb != y.RamGb || len(x.Yards) != len(y.Yards) {
+			return false
+		}
+		for k := range x.Yards {
+			if x.Yards[k] != y.Yards[k] {
+				return false
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/coordination/leader/leader.go
@@ -0,0 +1,338 @@
+// Package leader runs a term: the actor that owns the scheduler, and the actors that carry
+// out what it decides. Everything reaches it as a message and nothing in it blocks on I/O.
+package leader
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"quillshunt/internal/config"
+	"quillshunt/internal/coordination/election"
+	"quillshunt/internal/coordination/peer"
+	"quillshunt/internal/coordination/scheduler"
+	"quillshunt/internal/limits"
+	"quillshunt/internal/protocol"
+	"quillshunt/internal/storage"
+)
+
+// Reply answers a worker's report: 200 with a body, or another status.
+type Reply func(status int, body []byte)
+
+// Desk is where messages for the present term are left. It outlives terms.
+type Desk struct {
+	settings *config.Settings
+	store    *storage.Store
+	cloud    *Cloud
+	log      *slog.Logger
+	lost     func(term uint64)
+	term     atomic.Pointer[term]
+}
+
+// NewDesk returns a Desk.
+func NewDesk(settings *config.Settings, store *storage.Store, cloud *Cloud, log *slog.Logger) *Desk {
+	return &Desk{settings: settings, store: store, cloud: cloud, log: log, lost: func(uint64) {}}
+}
+
+// OnLost sets who is told that a term was found to be over.
+func (d *Desk) OnLost(f func(term uint64)) { d.lost = f }
+
+// term is one term's actor.
+type term struct {
+	d       *Desk
+	m       *election.Mandate
+	mail    chan any
+	start   time.Time
+	sched   *scheduler.Scheduler
+	writes  chan scheduler.WriteOut
+	log     *slog.Logger
+	pending []scheduler.WriteOut
+}
+
+type reportMsg struct {
+	r       *protocol.Report
+	reply   Reply
+	arrived time.Time
+}
+
+type countsMsg struct {
+	job   string
+	reply chan scheduler.CountsOut
+}
+
+// Leads tells whether this process leads.
+func (d *Desk) Leads() bool { return d.term.Load() != nil }
+
+// Report hands a report to the term. It is answered 503 at once if nobody leads here or the mailbox is full.
+func (d *Desk) Report(r *protocol.Report, reply Reply) {
+	t := d.term.Load()
+	if t == nil {
+		reply(503, nil)
+		return
+	}
+	select {
+	case t.mail <- reportMsg{r: r, reply: reply, arrived: time.Now()}:
+	default:
+		reply(503, nil)
+	}
+}
+
+// Counts returns a job's counts if this process leads.
+func (d *Desk) Counts(ctx context.Context, job string) (peer.Counts, bool) {
+	t := d.term.Load()
+	if t == nil {
+		return peer.Counts{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, limits.PeerTimeout)
+	defer cancel()
+	msg := countsMsg{job: job, reply: make(chan scheduler.CountsOut, 1)}
+	select {
+	case t.mail <- msg:
+	case <-ctx.Done():
+		return peer.Counts{}, false
+	}
+	select {
+	case c := <-msg.reply:
+		return peer.Counts{Done: c.Done, Running: c.Running}, c.Known
+	case <-ctx.Done():
+		return peer.Counts{}, false
+	}
+}
+
+// Lead runs a term until its context ends.
+func (d *Desk) Lead(ctx context.Context, m *election.Mandate) {
+	f := &d.settings.Facts
+	t := &term{
+		d: d, m: m,
+		mail:   make(chan any, limits.ReportMailbox),
+		start:  time.Now(),
+		writes: make(chan scheduler.WriteOut),
+		log:    d.log.With("term", m.Term),
+	}
+	t.sched = scheduler.New(scheduler.Config{
+		Term: m.Term, Teams: f.Teams, Objectives: f.Objectives, Workers: f.Workers, State: f.State,
+		ListLag: limits.Seconds(f.Cloud.ListLagS),
+	}, 0)
+	d.store.SetLeader(true)
+	defer d.store.SetLeader(false)
+	d.term.Store(t)
+	defer d.term.Store(nil)
+	defer t.drain()
+
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ledger, ok := t.load(ctx)
+	if !ok {
+		return
+	}
+	w := &writer{t: t}
+	go w.run(ctx)
+	go t.watch(ctx, ledger)
+	t.run(ctx)
+}
+
+// drain answers what is left in the mailbox.
+func (t *term) drain() {
+	for {
+		select {
+		case msg := <-t.mail:
+			if r, ok := msg.(reportMsg); ok {
+				r.reply(503, nil)
+			}
+		default:
+			return
+		}
+	}
+}
+
+func (t *term) now() time.Duration { return time.Since(t.start) }
+
+// load reads what earlier terms left behind: open jobs, their finished tasks, rentals.
+func (t *term) load(ctx context.Context) (uint64, bool) {
+	var back storage.Backoff
+	for {
+		ledger, evs, err := t.read(ctx)
+		if err == nil {
+			for _, e := range evs {
+				t.step(ctx, e)
+			}
+			t.step(ctx, scheduler.Loaded{})
+			return ledger, true
+		}
+		t.log.Warn("cannot load jobs", "err", err)
+		if !back.Wait(ctx) {
+			return 0, false
+		}
+	}
+}
+
+func (t *term) read(ctx context.Context) (uint64, []scheduler.Event, error) {
+	ledger, evs, err := t.readOpen(ctx)
+	if err != nil {
+		return 0, nil, err
+	}
+	_, err = t.d.store.List(ctx, storage.PrefixFin, func(p protocol.Pair) error {
+		var f storage.Fin
+		if err := protocol.Decode(p.Data, &f); err != nil {
+			return fmt.Errorf("%s: %w", p.Path, err)
+		}
+		if id, _, ok := storage.ParseFinKey(p.Path); ok {
+			evs = append(evs, scheduler.FinLoaded{ID: id, Stamp: p.Stamp, Rec: f})
+		}
+		return nil
+	})
+	if err != nil {
+		return 0, nil, err
+	}
+	_, err = t.d.store.List(ctx, storage.PrefixHire, func(p protocol.Pair) error {
+		var h storage.Hire
+		if err := protocol.Decode(p.Data, &h); err != nil {
+			return fmt.Errorf("%s: %w", p.Path, err)
+		}
+		evs = append(evs, scheduler.HireLoaded{Name: strings.TrimPrefix(p.Path, storage.PrefixHire), Stamp: p.Stamp, Rec: h})
+		return nil
+	})
+	return ledger, evs, err
+}
+
+func (t *term) readOpen(ctx context.Context) (uint64, []scheduler.Event, error) {
+	var evs []scheduler.Event
+	ledger, err := t.d.store.List(ctx, storage.PrefixOpen, func(p protocol.Pair) error {
+		e, err := jobSeen(p.Path, p.Data, p.Stamp)
+		if err != nil {
+			return err
+		}
+		evs = append(evs, e)
+		return nil
+	})
+	return ledger, evs, err
+}
+
+func jobSeen(path string, data protocol.Raw, stamp uint64) (scheduler.JobSeen, error) {
+	var o storage.Open
+	if err := protocol.Decode(data, &o); err != nil {
+		return scheduler.JobSeen{}, fmt.Errorf("%s: %w", path, err)
+	}
+	age := time.Duration(time.Now().UnixMilli()-o.AtMs) * time.Millisecond
+	return scheduler.JobSeen{ID: strings.TrimPrefix(path, storage.PrefixOpen), Stamp: stamp, Rec: o, Age: max(age, 0)}, nil
+}
+
+// watch follows the open jobs.
+func (t *term) watch(ctx context.Context, since uint64) {
+	var back storage.Backoff
+	for ctx.Err() == nil {
+		r, err := t.d.store.Watch(ctx, storage.PrefixOpen, since)
+		switch {
+		case errors.Is(err, storage.ErrGone):
+			ledger, evs, rerr := t.readOpen(ctx)
+			if rerr != nil {
+				back.Wait(ctx)
+				continue
+			}
+			for _, e := range evs {
+				t.post(ctx, e)
+			}
+			since = ledger
+			continue
+		case err != nil:
+			t.log.Debug("watch", "err", err)
+			if !back.Wait(ctx) {
+				return
+			}
+			continue
+		}
+		back.Reset()
+		for _, c := range r.Log {
+			if c.Remove != "" {
+				t.post(ctx, scheduler.JobLeft{ID: strings.TrimPrefix(c.Remove, storage.PrefixOpen), Stamp: c.Stamp})
+				continue
+			}
+			e, err := jobSeen(c.Write, c.Data, c.Stamp)
+			if err != nil {
+				t.log.Error("bad job record", "err", err)
+				continue
+			}
+			t.post(ctx, e)
+		}
+		since = max(since, r.Ledger)
+	}
+}
+
+// post leaves a message for the actor; it waits while the mailbox is full.
+func (t *term) post(ctx context.Context, msg any) {
+	select {
+	case t.mail <- msg:
+	case <-ctx.Done():
+	}
+}
+
+// run is the actor's loop.
+func (t *term) run(ctx context.Context) {
+	tick := time.NewTicker(limits.TickEvery)
+	defer tick.Stop()
+	for {
+		var writes chan scheduler.WriteOut
+		var next scheduler.WriteOut
+		if len(t.pending) > 0 {
+			writes, next = t.writes, t.pending[0]
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case writes <- next:
+			t.pending = t.pending[1:]
+		case <-tick.C:
+			t.step(ctx, scheduler.Tick{Entitled: t.m.Entitled()})
+		case msg := <-t.mail:
+			switch msg := msg.(type) {
+			case reportMsg:
+				if msg.r.Baton > t.m.Term {
+					t.d.lost(t.m.Term) // the worker has seen a later leader
+				}
+				fresh := time.Since(msg.arrived) < limits.StaleReport
+				t.step(ctx, scheduler.ReportIn{Report: msg.r, Ref: msg.reply, Entitled: fresh && t.m.Entitled()})
+			case countsMsg:
+				t.step(ctx, scheduler.CountsIn{ID: msg.job, Ref: msg.reply})
+			case scheduler.Event:
+				t.step(ctx, msg)
+			}
+		}
+	}
+}
+
+// step takes an event through the scheduler and carries out the effects.
+func (t *term) step(ctx context.Context, e scheduler.Event) {
+	for _, eff := range t.sched.Step(e, t.now()) {
+		switch eff := eff.(type) {
+		case scheduler.ReplyOut:
+			reply := eff.Ref.(Reply)
+			if !eff.OK || !t.m.Entitled() {
+				reply(503, nil)
+				continue
+			}
+			reply(200, protocol.Encode(protocol.ReportReply{Baton: t.m.Term, Orders: eff.Orders}))
+		case scheduler.WriteOut:
+			t.pending = append(t.pending, eff)
+		case scheduler.HireOut:
+			go t.hire(ctx, eff.Req)
+		case scheduler.DeleteOut:
+			go t.remove(ctx, eff.Rigs)
+		case scheduler.ListOut:
+			go t.list(ctx)
+		case scheduler.TypesOut:
+			go t.types(ctx)
+		case scheduler.CountsOut:
+			eff.Ref.(chan scheduler.CountsOut) <- eff
+		case scheduler.Note:
+			if eff.Warn {
+				t.log.Warn(eff.Msg, eff.Args...)
+			} else {
+				t.log.Info(eff.Msg, eff.Args...)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/leader/writer.go
@@ -0,0 +1,165 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"reflect"
+
+	"quillshunt/internal/coordination/scheduler"
+	"quillshunt/internal/limits"
+	"quillshunt/internal/protocol"
+	"quillshunt/internal/storage"
+)
+
+// writer carries out the term's writes, several in one transaction, each under the leader's guard. A write without
+// a clear outcome is repeated as it was until there is one.
+type writer struct{ t *term }
+
+func (w *writer) run(ctx context.Context) {
+	var held *scheduler.WriteOut
+	for {
+		var batch []scheduler.WriteOut
+		ops, guards := 0, 1
+		if held != nil {
+			batch, ops, guards, held = append(batch, *held), len(held.Ops), 1+len(held.Guards), nil
+		} else {
+			select {
+			case <-ctx.Done():
+				return
+			case o := <-w.t.writes:
+				batch, ops, guards = append(batch, o), len(o.Ops), 1+len(o.Guards)
+			}
+		}
+		most := w.t.d.store.Settings().TxnOps
+	fill:
+		for ops < most {
+			select {
+			case o := <-w.t.writes:
+				if ops+len(o.Ops) > most || guards+len(o.Guards) > most*limits.GuardsPerOp {
+					held = &o
+					break fill
+				}
+				batch, ops, guards = append(batch, o), ops+len(o.Ops), guards+len(o.Guards)
+			default:
+				break fill
+			}
+		}
+		if !w.carryOut(ctx, batch) {
+			return
+		}
+	}
+}
+
+// carryOut writes a batch; it returns false when the term is over.
+func (w *writer) carryOut(ctx context.Context, batch []scheduler.WriteOut) bool {
+	var back storage.Backoff
+	txn := protocol.Txn{Guards: []protocol.Guard{w.t.m.Guard()}}
+	for _, o := range batch {
+		txn.Guards = append(txn.Guards, o.Guards...)
+		txn.Apply = append(txn.Apply, o.Ops...)
+	}
+	for {
+		rev, err := w.t.d.store.Txn(ctx, txn)
+		var conflict *storage.Conflict
+		switch {
+		case err == nil:
+			for _, o := range batch {
+				w.t.post(ctx, scheduler.WriteDone{ID: o.ID, OK: true, Rev: rev})
+			}
+			return true
+		case errors.As(err, &conflict):
+			if conflict.Has(storage.KeyLeader) {
+				w.t.d.lost(w.t.m.Term)
+				return false
+			}
+			if len(batch) > 1 {
+				for _, o := range batch {
+					if !w.carryOut(ctx, []scheduler.WriteOut{o}) {
+						return false
+					}
+				}
+				return true
+			}
+			// Perhaps an earlier try of this same write, whose answer was lost, was carried out.
+			ok, rev, verr := w.holds(ctx, batch[0])
+			if verr == nil {
+				w.t.post(ctx, scheduler.WriteDone{ID: batch[0].ID, OK: ok, Rev: rev})
+				return true
+			}
+			err = verr
+		case errors.Is(err, storage.ErrBadRequest):
+			w.t.log.Error("write rejected", "err", err, "ops", len(txn.Apply))
+			if len(batch) == 1 {
+				w.t.post(ctx, scheduler.WriteDone{ID: batch[0].ID})
+				return true
+			}
+			for _, o := range batch {
+				if !w.carryOut(ctx, []scheduler.WriteOut{o}) {
+					return false
+				}
+			}
+			return true
+		}
+		w.t.log.Debug("write", "err", err)
+		if !back.Wait(ctx) {
+			return false
+		}
+	}
+}
+
+// holds tells whether the state service already shows what a write was to bring about.
+func (w *writer) holds(ctx context.Context, o scheduler.WriteOut) (bool, uint64, error) {
+	var rev uint64
+	for _, op := range o.Ops {
+		key := op.Write
+		if key == "" {
+			key = op.Remove
+		}
+		p, err := w.t.d.store.Get(ctx, key)
+		if err != nil {
+			return false, 0, err
+		}
+		if op.Remove != "" {
+			if p.Stamp != 0 {
+				return false, 0, nil
+			}
+			continue
+		}
+		if p.Stamp == 0 || !same(p.Data, op.Data) {
+			return false, 0, nil
+		}
+		rev = max(rev, p.Stamp)
+	}
+	return true, rev, nil
+}
+
+// same compares two values by meaning, as the service may write numbers in another form.
+func same(a, b protocol.Raw) bool {
+	var x, y any
+	if protocol.Decode(a, &x) != nil || protocol.Decode(b, &y) != nil {
+		return false
+	}
+	return reflect.DeepEqual(plain(x), plain(y))
+}
+
+func plain(v any) any {
+	switch v := v.(type) {
+	case uint64:
+		return float64(v)
+	case int64:
+		return float64(v)
+	case []any:
+		out := make([]any, len(v))
+		for i := range v {
+			out[i] = plain(v[i])
+		}
+		return out
+	case map[any]any:
+		out := make(map[any]any, len(v))
+		for k, e := range v {
+			out[k] = plain(e)
+		}
+		return out
+	}
+	return v
+}
--- /dev/null
+++ b/internal/coordination/peer/peer.go
@@ -0,0 +1,104 @@
+// Package peer is what the controllers say to each other, over gRPC.
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"quillshunt/internal/config"
+	"quillshunt/internal/coordination/peer/peerpb"
+	"quillshunt/internal/limits"
+)
+
+// Counts are a job's task counts.
+type Counts struct{ Done, Running int }
+
+// Local answers for this process.
+type Local interface {
+	// Counts returns a job's counts if this process leads and knows the job.
+	Counts(ctx context.Context, job string) (Counts, bool)
+}
+
+// Server answers other controllers.
+type Server struct {
+	peerpb.UnimplementedPeerServer
+	local Local
+	grpc  *grpc.Server
+}
+
+// NewServer returns a Server for the local process.
+func NewServer(local Local) *Server {
+	s := &Server{local: local, grpc: grpc.NewServer(
+		grpc.MaxRecvMsgSize(limits.MaxBodyBytes),
+		grpc.MaxConcurrentStreams(limits.PeerStreams),
+		grpc.NumStreamWorkers(0),
+	)}
+	peerpb.RegisterPeerServer(s.grpc, s)
+	return s
+}
+
+// Run serves on addr until the context ends.
+func (s *Server) Run(ctx context.Context, addr string) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("listen for controllers: %w", err)
+	}
+	stop := context.AfterFunc(ctx, s.grpc.Stop)
+	defer stop()
+	if err := s.grpc.Serve(ln); err != nil && !errors.Is(err, grpc.ErrServerStopped) {
+		return fmt.Errorf("serve controllers: %w", err)
+	}
+	return nil
+}
+
+// Counts implements the service.
+func (s *Server) Counts(ctx context.Context, r *peerpb.CountsRequest) (*peerpb.CountsReply, error) {
+	c, ok := s.local.Counts(ctx, r.GetJob())
+	return &peerpb.CountsReply{Known: ok, Done: int64(c.Done), Running: int64(c.Running)}, nil
+}
+
+// Peers are the other controllers.
+type Peers struct{ conns map[string]*grpc.ClientConn }
+
+// Dial prepares connections; they are made when first used.
+func Dial(members []config.Member) (*Peers, error) {
+	p := &Peers{conns: map[string]*grpc.ClientConn{}}
+	for _, m := range members {
+		conn, err := grpc.NewClient("passthrough:///"+m.Address,
+			grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithConnectParams(grpc.ConnectParams{
+				Backoff:           backoff.Config{BaseDelay: limits.RetryMin, Multiplier: 2, Jitter: 0.2, MaxDelay: limits.RetryMax},
+				MinConnectTimeout: limits.DialTimeout,
+			}),
+			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(limits.MaxBodyBytes)),
+			grpc.WithDisableServiceConfig(),
+			grpc.WithIdleTimeout(limits.PeerIdle),
+		)
+		if err != nil {
+			return nil, fmt.Errorf("controller %s: %w", m.NodeName, err)
+		}
+		p.conns[m.NodeName] = conn
+	}
+	return p, nil
+}
+
+// Counts asks a controller for a job's counts.
+func (p *Peers) Counts(ctx context.Context, node, job string) (Counts, bool) {
+	conn := p.conns[node]
+	if conn == nil {
+		return Counts{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, limits.PeerTimeout)
+	defer cancel()
+	r, err := peerpb.NewPeerClient(conn).Counts(ctx, &peerpb.CountsRequest{Job: job})
+	if err != nil || !r.GetKnown() {
+		return Counts{}, false
+	}
+	return Counts{Done: int(r.GetDone()), Running: int(r.GetRunning())}, true
+}
--- /dev/null
+++ b/internal/coordination/scheduler/events.go
@@ -0,0 +1,157 @@
+package scheduler
+
+import (
+	"time"
+
+	"quillshunt/internal/protocol"
+	"quillshunt/internal/storage"
+)
+
+// Event is something that happened.
+type Event interface{ event() }
+
+// JobSeen is an open job as it stands in the state service.
+type JobSeen struct {
+	ID    string
+	Stamp uint64
+	Rec   storage.Open
+	Age   time.Duration // since its submission
+}
+
+// JobLeft is a job whose open record is gone.
+type JobLeft struct {
+	ID    string
+	Stamp uint64
+}
+
+// FinLoaded is a chunk of finished tasks, read at the start of a term.
+type FinLoaded struct {
+	ID    string
+	Stamp uint64
+	Rec   storage.Fin
+}
+
+// HireLoaded is a rental request, read at the start of a term.
+type HireLoaded struct {
+	Name  string
+	Stamp uint64
+	Rec   storage.Hire
+}
+
+// Loaded ends the reading at the start of a term.
+type Loaded struct{}
+
+// ReportIn is a worker's report. It is answered with a ReplyOut of the same Ref.
+type ReportIn struct {
+	Report   *protocol.Report
+	Ref      any
+	Entitled bool
+}
+
+// WriteDone is the outcome of a WriteOut.
+type WriteDone struct {
+	ID  uint64
+	OK  bool
+	Rev uint64
+}
+
+// HireDone is the outcome of a HireOut.
+type HireDone struct {
+	Name       string
+	Rigs       []string
+	OK         bool
+	NoCapacity bool
+}
+
+// DeleteDone is the outcome of a DeleteOut.
+type DeleteDone struct {
+	Rigs []string
+	OK   bool
+}
+
+// ListDone is the cloud's list. Rigs is nil if it could not be read.
+type ListDone struct {
+	Rigs []protocol.Rig
+	OK   bool
+}
+
+// TypesDone are the machine types.
+type TypesDone struct {
+	Types []protocol.Rigkind
+	OK    bool
+}
+
+// CountsIn asks for a job's counts; answered with a CountsOut.
+type CountsIn struct {
+	ID  string
+	Ref any
+}
+
+// Tick lets time pass.
+type Tick struct{ Entitled bool }
+
+func (JobSeen) event()    {}
+func (JobLeft) event()    {}
+func (FinLoaded) event()  {}
+func (HireLoaded) event() {}
+func (Loaded) event()     {}
+func (ReportIn) event()   {}
+func (WriteDone) event()  {}
+func (HireDone) event()   {}
+func (DeleteDone) event() {}
+func (ListDone) event()   {}
+func (TypesDone) event()  {}
+func (CountsIn) event()   {}
+func (Tick) event()       {}
+
+// Effect is something to do.
+type Effect interface{ effect() }
+
+// ReplyOut answers a report: 200 with orders, or 503.
+type ReplyOut struct {
+	Ref    any
+	OK     bool
+	Orders []protocol.Order
+}
+
+// WriteOut changes the state service under the leader's guard, whole or not at all.
+type WriteOut struct {
+	ID     uint64
+	Guards []protocol.Guard
+	Ops    []protocol.Op
+}
+
+// HireOut sends a rental request, again and again until there is an answer.
+type HireOut struct{ Req protocol.HireRequest }
+
+// DeleteOut returns machines.
+type DeleteOut struct{ Rigs []string }
+
+// ListOut reads the cloud's list.
+type ListOut struct{}
+
+// TypesOut reads the machine types.
+type TypesOut struct{}
+
+// CountsOut answers a CountsIn.
+type CountsOut struct {
+	Ref           any
+	Known         bool
+	Done, Running int
+}
+
+// Note is something an operator may want to read.
+type Note struct {
+	Warn bool
+	Msg  string
+	Args []any
+}
+
+func (ReplyOut) effect()  {}
+func (WriteOut) effect()  {}
+func (HireOut) effect()   {}
+func (DeleteOut) effect() {}
+func (ListOut) effect()   {}
+func (TypesOut) effect()  {}
+func (CountsOut) effect() {}
+func (Note) effect()      {}
--- /dev/null
+++ b/internal/coordination/scheduler/fleet.go
@@ -0,0 +1,550 @@
+package scheduler
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"time"
+
+	"quillshunt/internal/limits"
+	"quillshunt/internal/protocol"
+	"quillshunt/internal/storage"
+)
+
+func (h *hire) request() protocol.HireRequest {
+	return protocol.HireRequest{Hire: h.name, Rigkind: h.rec.Rigkind, Yard: h.rec.Yard, Lendable: h.rec.Lendable, Number: h.rec.Number}
+}
+
+func (s *Scheduler) hireLoaded(e HireLoaded) {
+	h := &hire{name: e.Name, rec: e.Rec, stamp: e.Stamp, at: s.now, state: hireAsking}
+	s.hires[e.Name] = h
+	if !e.Rec.Answered {
+		s.emit(HireOut{Req: h.request()}) // repeated: the same answer, or the machines for the first time
+		return
+	}
+	h.state = hireAnswered
+	for _, name := range e.Rec.Rigs {
+		m := s.machine(name, e.Rec.Rigkind, e.Rec.Yard, e.Rec.Lendable)
+		if m.hire == "" {
+			m.hire = h.name
+			h.left++
+		}
+	}
+}
+
+// hire starts a rental: its name is durable before the request leaves, so that a successor can ask for the answer.
+func (s *Scheduler) hireMachines(p pool, n int) {
+	s.hireSeq++
+	h := &hire{name: fmt.Sprintf("h-%d-%d", s.cfg.Term, s.hireSeq), state: hireWriting, at: s.now,
+		rec: storage.Hire{Rigkind: p.kind, Yard: p.yard, Lendable: p.spot, Number: min(n, limits.HireMax)}}
+	s.hires[h.name] = h
+	s.note(false, "renting", "request", h.name, "type", p.kind, "zone", p.yard, "spot", p.spot, "count", h.rec.Number)
+	s.writeHire(h)
+}
+
+func (s *Scheduler) writeHire(h *hire) {
+	key := storage.HireKey(h.name)
+	s.write(pendingWrite{kind: writeHire, hire: h.name}, []protocol.Guard{{Path: key, Stamp: h.stamp}},
+		[]protocol.Op{{Write: key, Data: protocol.Encode(h.rec)}})
+}
+
+func (s *Scheduler) removeHire(h *hire) {
+	h.state = hireRemoving
+	key := storage.HireKey(h.name)
+	s.write(pendingWrite{kind: writeHireRemove, hire: h.name}, []protocol.Guard{{Path: key, Stamp: h.stamp}},
+		[]protocol.Op{{Remove: key}})
+}
+
+// cover writes down a machine that no rental of ours accounts for, so that a successor knows of it before it gets a task.
+func (s *Scheduler) cover(m *machine) {
+	name := "found-" + m.name
+	if s.hires[name] != nil {
+		return
+	}
+	s.note(true, "unexpected machine", "machine", m.name, "type", m.kind, "zone", m.yard, "spot", m.spot)
+	h := &hire{name: name, state: hireAnswered, at: s.now,
+		rec: storage.Hire{Rigkind: m.kind, Yard: m.yard, Lendable: m.spot, Answered: true, Rigs: []string{m.name}}, left: 1}
+	s.hires[name] = h
+	s.writeHire(h)
+}
+
+func (s *Scheduler) hireDone(e HireDone) {
+	h := s.hires[e.Name]
+	if h == nil || h.state != hireAsking {
+		return
+	}
+	p := pool{h.rec.Rigkind, h.rec.Yard, h.rec.Lendable}
+	switch {
+	case e.NoCapacity:
+		s.refuse(p)
+		s.note(false, "no capacity", "request", h.name, "type", p.kind, "zone", p.yard, "spot", p.spot)
+		s.removeHire(h)
+		return
+	case !e.OK:
+		s.emit(HireOut{Req: h.request()})
+		return
+	}
+	if len(e.Rigs) < h.rec.Number {
+		s.refuse(p)
+	} else if st := s.pools[p]; st != nil {
+		st.backoff = 0
+	}
+	s.note(false, "rented", "request", h.name, "machines", len(e.Rigs))
+	h.state = hireAnswered
+	h.rec.Answered, h.rec.Rigs = true, e.Rigs
+	for _, name := range e.Rigs {
+		known := s.machines[name]
+		m := s.machine(name, p.kind, p.yard, p.spot)
+		if known == nil {
+			m.created = h.at
+		}
+		if m.hire == "" {
+			m.hire = h.name
+			h.left++
+		}
+	}
+	s.dirty = true
+	if h.left == 0 {
+		s.removeHire(h)
+		return
+	}
+	s.writeHire(h)
+}
+
+// refuse makes a pool wait before it is asked again.
+func (s *Scheduler) refuse(p pool) {
+	st := s.pool(p)
+	st.backoff = min(max(2*st.backoff, limits.CapacityBackoffMin), limits.CapacityBackoffMax)
+	st.until = s.now + st.backoff
+}
+
+func (s *Scheduler) pool(p pool) *poolState {
+	st := s.pools[p]
+	if st == nil {
+		st = &poolState{}
+		s.pools[p] = st
+	}
+	return st
+}
+
+func (s *Scheduler) typesDone(e TypesDone) {
+	if !e.OK {
+		s.typesAt = s.now + limits.AskAgain
+		return
+	}
+	s.typesAt = s.now + limits.TypesEvery
+	clear(s.types)
+	s.kinds = s.kinds[:0]
+	for i := range e.Types {
+		t := e.Types[i]
+		s.types[t.Sku] = &t
+		s.kinds = append(s.kinds, t.Sku)
+	}
+	sort.Strings(s.kinds)
+	for _, m := range s.fleet {
+		m.typ = s.types[m.kind]
+	}
+	s.dirty = true
+}
+
+func (s *Scheduler) listDone(e ListDone) {
+	s.listing = false
+	if !e.OK {
+		s.listAt = s.now + limits.AskAgain
+		return
+	}
+	s.listAt = s.now + limits.ListEvery
+	in := make(map[string]bool, len(e.Rigs))
+	for i := range e.Rigs {
+		r := &e.Rigs[i]
+		in[r.NameId] = true
+		m := s.machines[r.NameId]
+		if m == nil {
+			if r.AgeS < (3 * s.cfg.ListLag).Seconds() {
+				continue // perhaps the answer to a rental of ours is on its way
+			}
+			if s.now < s.took+limits.WaitOut(s.lease) || r.Standing == protocol.RigRunning {
+				m = s.machine(r.NameId, r.Rigkind, r.Yard, r.Lendable)
+				m.created = s.now - limits.Seconds(r.AgeS)
+				s.cover(m)
+			}
+			if m == nil {
+				continue
+			}
+		}
+		if !m.listed {
+			m.created = min(m.created, s.now-limits.Seconds(r.AgeS))
+		}
+		m.listed = true
+		if m.addr == "" {
+			m.addr = r.Address
+		}
+		if r.Standing == protocol.RigFailed {
+			s.remove(m, "failed")
+		}
+	}
+	for _, m := range s.fleet {
+		if in[m.name] || !m.listed {
+			m.missing = 0
+			continue
+		}
+		// It was listed and is no more: gone, unless this list is an old one. Deleting it makes sure.
+		if m.missing++; m.missing >= limits.MissingLists && s.now > m.heard+s.stale() {
+			s.remove(m, "no longer listed")
+		}
+	}
+}
+
+// remove returns a machine to the cloud. Once asked, there is no way back, as the request may be carried out at any time.
+func (s *Scheduler) remove(m *machine, why string) {
+	if m.deleting {
+		return
+	}
+	m.deleting, m.deleteWhy, m.askedAt = true, why, -never/2
+	s.note(false, "returning", "machine", m.name, "reason", why, "tasks", len(m.binds))
+	s.withdraw(m)
+}
+
+func (s *Scheduler) deleteDone(e DeleteDone) {
+	for _, name := range e.Rigs {
+		m := s.machines[name]
+		if m == nil {
+			continue
+		}
+		if !e.OK {
+			m.askedAt = s.now
+			continue
+		}
+		// The machine and everything on it are gone.
+		for _, b := range m.sortedBinds() {
+			s.unbind(b)
+		}
+		s.dropMachine(m)
+	}
+	s.dirty = true
+	for _, h := range s.sortedHires() {
+		if h.state == hireAnswered && h.left <= 0 && h.stamp != 0 {
+			s.removeHire(h)
+		}
+	}
+}
+
+func (s *Scheduler) sortedHires() []*hire {
+	out := make([]*hire, 0, len(s.hires))
+	for _, h := range s.hires {
+		out = append(out, h)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].name < out[b].name })
+	return out
+}
+
+// manageFleet keeps the fleet in step with the work.
+func (s *Scheduler) manageFleet() {
+	if s.now >= s.typesAt {
+		s.typesAt = s.now + limits.CloudTimeout
+		s.emit(TypesOut{})
+	}
+	if s.now >= s.listAt && !s.listing {
+		s.listing = true
+		s.emit(ListOut{})
+	}
+	s.dropBroken()
+	if s.now >= s.planAt && s.settled && len(s.types) > 0 {
+		s.planAt = s.now + limits.PlanEvery
+		s.plan()
+	}
+	var names []string
+	for _, m := range s.fleet {
+		if m.deleting && s.now >= m.askedAt+limits.AskAgain && len(names) < limits.DeleteMax {
+			m.askedAt = never / 2
+			names = append(names, m.name)
+		}
+	}
+	if len(names) > 0 {
+		s.emit(DeleteOut{Rigs: names})
+	}
+}
+
+// dropBroken returns machines that do not serve: never up, silent, sick.
+func (s *Scheduler) dropBroken() {
+	silent, up := 0, 0
+	limit := time.Duration(float64(s.lease) * limits.SilentShare)
+	quiet := func(m *machine) bool { return m.seen && s.now > max(m.heard, s.took)+limit }
+	for _, m := range s.fleet {
+		if m.seen && !m.deleting {
+			up++
+			if quiet(m) {
+				silent++
+			}
+		}
+	}
+	crowd := silent > 3 && float64(silent) > limits.SilentCrowd*float64(up)
+	for _, m := range s.fleet {
+		if m.deleting {
+			continue
+		}
+		switch {
+		case !m.seen:
+			patience := limits.BootPatienceMin
+			if m.typ != nil {
+				patience = max(patience, time.Duration(limits.BootPatience*float64(limits.Seconds(m.typ.StartupS))))
+			}
+			if s.now > max(m.created, s.took)+patience {
+				s.remove(m, "never came up")
+			}
+		case quiet(m) && (!crowd || s.now > m.heard+4*limits.WaitOut(s.lease)):
+			s.remove(m, "silent")
+		case m.sick():
+			s.remove(m, "fails its tasks")
+		case m.notice && len(m.binds) == 0 && s.durable(m):
+			s.remove(m, "spot notice")
+		default:
+			for _, b := range m.sortedBinds() {
+				if b.j.cancelled && s.now > b.j.cancelAt+time.Duration(limits.CancelShare*float64(limits.Seconds(s.cfg.Workers.CancelS))) {
+					s.remove(m, "cancelled task does not stop")
+					break
+				}
+			}
+		}
+	}
+}
+
+// durable tells whether all results that a machine lists are written down.
+func (s *Scheduler) durable(m *machine) bool {
+	for _, x := range m.exits {
+		if x.j != nil && !x.j.over && x.j.chunks[x.chunk].durable < x.ver {
+			return false
+		}
+	}
+	return true
+}
+
+// offer is room in time that the plan may use: of a machine that is up, is booting, or would be rented.
+type offer struct {
+	m     *machine
+	p     pool
+	typ   *protocol.Rigkind
+	ready float64 // seconds until it can start a task
+	load  float64 // CPU seconds already promised
+	n     int     // machines of this offer, for new ones
+}
+
+// plan compares the backlog with what the fleet can work off in time, rents what is missing and returns what is idle.
+func (s *Scheduler) plan() {
+	var offers []*offer
+	total := 0
+	for _, m := range s.fleet {
+		total++
+		m.wanted = false
+		if m.typ == nil || m.deleting || m.notice || m.sick() {
+			continue
+		}
+		o := &offer{m: m, p: pool{m.kind, m.yard, m.spot}, typ: m.typ}
+		if !m.seen {
+			age := (s.now - m.created).Seconds()
+			if o.ready = m.typ.StartupS*1.1 - age; o.ready < 0 {
+				if age > 2.5*m.typ.StartupS+5 {
+					continue // it may never come up; plan without it
+				}
+				o.ready = 2
+			}
+		} else if s.now > m.heard+2*s.stale() {
+			continue
+		}
+		for _, b := range m.binds {
+			left := b.j.estimate()
+			if b.phase == running {
+				left = max(left-(s.now-b.runAt).Seconds(), 0.1*left)
+			}
+			o.load += left * b.j.need.cpu
+		}
+		offers = append(offers, o)
+	}
+	for _, h := range s.hires {
+		if h.state == hireWriting || h.state == hireAsking {
+			total += h.rec.Number
+		}
+	}
+	offers = append(offers, s.pendingOffers()...)
+	fresh := map[pool]float64{}
+	for _, j := range s.claims() {
+		s.planJob(j, offers, fresh, &offers)
+	}
+	pools := make([]pool, 0, len(fresh))
+	for p := range fresh {
+		pools = append(pools, p)
+	}
+	sort.Slice(pools, func(a, b int) bool { return fmt.Sprint(pools[a]) < fmt.Sprint(pools[b]) })
+	for _, p := range pools {
+		n := int(math.Floor(fresh[p] + 1 - limits.HireFraction))
+		if n == 0 && total == 0 {
+			n = 1
+		}
+		if n = min(n, limits.FleetMax-total); n > 0 {
+			total += n
+			s.hireMachines(p, n)
+		}
+	}
+	for _, m := range s.fleet {
+		if m.deleting || !m.seen || m.wanted || len(m.binds) > 0 || !s.durable(m) || m.hire == "" {
+			continue
+		}
+		if s.now > m.idleSince+limits.IdleReturn && s.now > m.created+limits.LeastCharge {
+			s.remove(m, "idle")
+		}
+	}
+}
+
+// pendingOffers are the machines of rentals that are under way.
+func (s *Scheduler) pendingOffers() []*offer {
+	var out []*offer
+	for _, h := range s.sortedHires() {
+		t := s.types[h.rec.Rigkind]
+		if t == nil || (h.state != hireWriting && h.state != hireAsking) {
+			continue
+		}
+		for range h.rec.Number {
+			out = append(out, &offer{p: pool{h.rec.Rigkind, h.rec.Yard, h.rec.Lendable}, typ: t, ready: t.StartupS * 1.1})
+		}
+	}
+	return out
+}
+
+// horizon is the time in which a job's backlog should be worked off.
+func (s *Scheduler) horizon(j *job) float64 {
+	h := limits.PlanHorizon.Seconds()
+	if slack, late := s.slack(j); !late && slack != never {
+		h = min(h, max(slack.Seconds(), 0)+j.estimate())
+	}
+	return max(h, j.estimate())
+}
+
+// planJob promises a job's waiting tasks to offers, and adds machines to rent for what is left.
+func (s *Scheduler) planJob(j *job, offers []*offer, fresh map[pool]float64, all *[]*offer) {
+	est, n := j.estimate(), j.free()
+	horizon := s.horizon(j)
+	// What the team's limit keeps out needs no machine now.
+	if j.need.cpu > 0 {
+		n = min(n, int((j.team.cfg.CPUsMax-j.team.used.cpu)/j.need.cpu+1e-6))
+	}
+	if n <= 0 {
+		return
+	}
+	for _, o := range *all {
+		if n == 0 {
+			return
+		}
+		size := room{o.typ.Vcpus, o.typ.Accelerators, o.typ.RamGb}
+		if !size.holds(j.need) || !s.allows(j, o.p.kind, o.p.yard, o.p.spot) {
+			continue
+		}
+		n -= o.take(j, n, est, max(horizon, o.ready+est))
+	}
+	for n > 0 {
+		p, t := s.cheapestPool(j)
+		if t == nil {
+			return
+		}
+		o := &offer{p: p, typ: t, ready: t.StartupS * 1.1}
+		got := o.take(j, n, est, max(horizon, o.ready+est))
+		if got == 0 {
+			return
+		}
+		size := room{t.Vcpus, t.Accelerators, t.RamGb}
+		whole := slots(size, j.need) * max(1, int((max(horizon, o.ready+est)-o.ready)/est))
+		fresh[p] += float64(got) / float64(whole)
+		if got < whole {
+			// The rest of this machine stays open for the jobs behind.
+			*all = append(*all, o)
+		}
+		n -= got
+		if len(*all) > 4*limits.FleetMax || fresh[p] > limits.FleetMax {
+			return
+		}
+	}
+}
+
+// take promises up to n tasks to the offer and returns how many it takes.
+func (o *offer) take(j *job, n int, est, horizon float64) int {
+	size := room{o.typ.Vcpus, o.typ.Accelerators, o.typ.RamGb}
+	per := slots(size, j.need)
+	if per == 0 {
+		return 0
+	}
+	cpu := j.need.cpu
+	if cpu <= 0 {
+		cpu = size.cpu / float64(per)
+	}
+	avail := (horizon-o.ready)*size.cpu - o.load
+	k := min(n, int(avail/(cpu*est)+1e-6), per*max(1, int((horizon-o.ready)/est)))
+	if k <= 0 {
+		return 0
+	}
+	o.load += float64(k) * cpu * est
+	if o.m != nil {
+		o.m.wanted = true
+	}
+	return k
+}
+
+// slots is how many tasks fit at once.
+func slots(size, need room) int {
+	n := math.Inf(1)
+	if need.cpu > 0 {
+		n = min(n, size.cpu/need.cpu)
+	}
+	if need.gpu > 0 {
+		n = min(n, size.gpu/need.gpu)
+	}
+	if need.ram > 0 {
+		n = min(n, size.ram/need.ram)
+	}
+	return int(min(n+1e-6, 1000))
+}
+
+// cheapestPool is where a machine for the job costs least for each task it holds, among the pools that are not known to be empty.
+func (s *Scheduler) cheapestPool(j *job) (pool, *protocol.Rigkind) {
+	var best pool
+	var typ *protocol.Rigkind
+	low := math.Inf(1)
+	for _, k := range s.kinds {
+		t := s.types[k]
+		size := room{t.Vcpus, t.Accelerators, t.RamGb}
+		per := slots(size, j.need)
+		if per == 0 {
+			continue
+		}
+		for _, y := range t.Yards {
+			for _, spot := range []bool{true, false} {
+				p := pool{k, y, spot}
+				if !s.allows(j, k, y, spot) {
+					continue
+				}
+				st := s.pools[p]
+				if st != nil && s.now < st.until {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.MarketPrice
+				}
+				// Spread over zones where all else is equal.
+				cost := price/float64(per)*(1+0.001*float64(s.inZone(y))) + 1e-9
+				if cost < low {
+					low, best, typ = cost, p, t
+				}
+			}
+		}
+	}
+	return best, typ
+}
+
+func (s *Scheduler) inZone(yard string) int {
+	n := 0
+	for _, m := range s.fleet {
+		if m.yard == yard && !m.deleting {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/coordination/scheduler/model.go
@@ -0,0 +1,418 @@
+// Package scheduler decides: which task runs where, which tasks give way, which
+// machines are rented and returned, and what has to be written down first. It is a
+// deterministic state machine, Step(event, now) -> effects, without clocks, I/O,
+// goroutines or randomness of its own.
+//
+// The rule that keeps a task from running twice: a task is free, or bound to one
+// session of one machine, and only evidence frees it (see free and its callers).
+package scheduler
+
+import (
+	"math"
+	"math/bits"
+	"sort"
+	"time"
+
+	"quillshunt/internal/config"
+	"quillshunt/internal/limits"
+	"quillshunt/internal/protocol"
+	"quillshunt/internal/storage"
+)
+
+const never = time.Duration(math.MaxInt64)
+
+// room is an amount of what machines have and tasks take.
+type room struct{ cpu, gpu, ram float64 }
+
+func (a room) plus(b room) room  { return room{a.cpu + b.cpu, a.gpu + b.gpu, a.ram + b.ram} }
+func (a room) minus(b room) room { return room{a.cpu - b.cpu, a.gpu - b.gpu, a.ram - b.ram} }
+
+// holds tells whether b fits into a, but for rounding.
+func (a room) holds(b room) bool {
+	const eps = 1e-6
+	return b.cpu <= a.cpu+eps && b.gpu <= a.gpu+eps && b.ram <= a.ram+eps
+}
+
+type phase uint8
+
+const (
+	assigned phase = iota // ours alone: no order has left yet
+	sent                  // a start is on its way, or was lost
+	fetching
+	running
+	saving
+)
+
+// binding ties a task to a session of a machine.
+type binding struct {
+	j         *job
+	idx       int
+	try       uint64
+	m         *machine
+	phase     phase
+	sentTally uint64        // of the report whose answer carried the start
+	at        time.Duration // when it was bound
+	runAt     time.Duration // when it was first seen running
+	stop      bool
+	stopWhy   string
+	stopAt    time.Duration
+}
+
+// exit is an ended task that its machine still lists.
+type exit struct {
+	try   uint64
+	j     *job // nil if there is nothing to write down
+	chunk int
+	ver   uint64
+}
+
+// chunk is a part of a job's finished tasks as the state service keeps it.
+type chunk struct {
+	stamp   uint64
+	ver     uint64 // rises with every finished task
+	durable uint64 // highest ver that is written
+	writing bool
+	wroteAt time.Duration
+}
+
+type job struct {
+	id        string
+	spec      protocol.Spec
+	urgency   protocol.Urgency
+	team      *team
+	class     *class
+	need      room
+	stamp     uint64
+	cancelled bool
+	cancelAt  time.Duration
+	at        time.Duration // of its submission
+	dues      []time.Duration
+	over      bool // its final record is written
+	finishing bool
+	finishAt  time.Duration
+
+	done   []uint64
+	doneN  int
+	busy   []uint64
+	cursor int
+	bound  map[int]*binding
+	chunks []chunk
+	stops  map[int]int // how often a task was stopped by us
+
+	runSum  float64
+	runN    int
+	failOn  map[string]bool // machines that failed a task since the last success
+	backoff time.Duration
+	resume  time.Duration // nothing is placed before
+}
+
+func (j *job) free() int { return j.spec.Pieces - j.doneN - len(j.bound) }
+
+func getBit(b []uint64, i int) bool { return b[i/64]>>(i%64)&1 != 0 }
+func setBit(b []uint64, i int)      { b[i/64] |= 1 << (i % 64) }
+func clearBit(b []uint64, i int)    { b[i/64] &^= 1 << (i % 64) }
+
+// nextFree is the lowest task that is neither done nor bound, or -1.
+func (j *job) nextFree() int {
+	for w := j.cursor / 64; w < len(j.done); w++ {
+		open := ^(j.done[w] | j.busy[w])
+		if open == 0 {
+			continue
+		}
+		i := w*64 + bits.TrailingZeros64(open)
+		if i >= j.spec.Pieces {
+			break
+		}
+		j.cursor = i
+		return i
+	}
+	j.cursor = j.spec.Pieces
+	return -1
+}
+
+// class learns how long tasks of a class really run.
+type class struct {
+	ratio float64 // real run time over the owner's estimate
+	n     int
+}
+
+// estimate is how long a task of the job is expected to run.
+func (j *job) estimate() float64 {
+	if j.runN >= 2 {
+		return max(j.runSum/float64(j.runN), 0.5)
+	}
+	return max(j.spec.ReckonS*j.class.ratio, 0.5)
+}
+
+type team struct {
+	cfg  config.Team
+	used room
+}
+
+// fits tells whether the team may use that much more.
+func (t *team) fits(r room) bool {
+	const eps = 1e-6
+	return t.used.cpu+r.cpu <= t.cfg.CPUsMax+eps && t.used.gpu+r.gpu <= t.cfg.GPUsMax+eps
+}
+
+// guaranteed tells whether the team with that much more is within its guarantee.
+func (t *team) guaranteed(r room) bool {
+	const eps = 1e-6
+	return t.used.cpu+r.cpu <= t.cfg.CPUs+eps && t.used.gpu+r.gpu <= t.cfg.GPUs+eps
+}
+
+type machine struct {
+	name, addr, kind, yard string
+	spot                   bool
+	typ                    *protocol.Rigkind
+
+	seen      bool // reported in our term
+	shift     uint64
+	tally     uint64
+	deadShift uint64        // sessions up to this one are surely over
+	heard     time.Duration // arrival of the last report
+	leaseBase time.Duration // the session is over WaitOut(lease) after this, if we answer no more
+	notice    bool
+	noticeEnd time.Duration
+
+	binds  map[string]*binding
+	exits  map[string]exit
+	used   room
+	images map[string]time.Duration
+
+	hire      string
+	created   time.Duration
+	upAt      time.Duration
+	listed    bool
+	missing   int // lists in a row that lack it
+	idleSince time.Duration
+	wanted    bool // the last plan counts on it
+	deleting  bool
+	askedAt   time.Duration
+	deleteWhy string
+	errs      int
+	errJobs   map[string]bool
+	speedSum  float64
+	speedN    int
+}
+
+func (m *machine) size() room {
+	if m.typ == nil {
+		return room{}
+	}
+	return room{m.typ.Vcpus, m.typ.Accelerators, m.typ.RamGb}
+}
+
+// freeRoom is what may be promised: what is free, and what tasks that were told to stop will leave. A start is sent
+// only once the room is confirmed (see orders).
+func (m *machine) freeRoom() room {
+	r := m.size().minus(m.used)
+	for _, b := range m.binds {
+		if b.stop {
+			r = r.plus(b.j.need)
+		}
+	}
+	return r
+}
+
+// price is what the machine costs an hour.
+func (m *machine) price() float64 {
+	if m.typ == nil {
+		return 0
+	}
+	if m.spot {
+		return m.typ.MarketPrice
+	}
+	return m.typ.Price
+}
+
+type hireState uint8
+
+const (
+	hireWriting hireState = iota
+	hireAsking
+	hireAnswered
+	hireRemoving
+)
+
+type hire struct {
+	name  string
+	rec   storage.Hire
+	stamp uint64
+	state hireState
+	at    time.Duration
+	left  int // machines that are not gone
+}
+
+// pool is one type in one zone of one kind.
+type pool struct {
+	kind, yard string
+	spot       bool
+}
+
+type poolState struct {
+	until   time.Duration
+	backoff time.Duration
+	losses  float64 // machines lost lately, decaying
+}
+
+// Config is what the scheduler must know.
+type Config struct {
+	Term       uint64
+	Teams      []config.Team
+	Objectives []config.Objective
+	Workers    config.Workers
+	State      config.State
+	ListLag    time.Duration
+}
+
+// Scheduler is the state of one term.
+type Scheduler struct {
+	cfg      Config
+	lease    time.Duration
+	report   time.Duration
+	now      time.Duration
+	took     time.Duration
+	chunkLen int
+
+	jobs     map[string]*job
+	closed   map[string]bool // jobs over in this term; a late record of one must not open it again
+	queue    []*job
+	teams    map[string]*team
+	classes  map[string]*class
+	machines map[string]*machine
+	fleet    []*machine // by name
+	types    map[string]*protocol.Rigkind
+	kinds    []string // names of types, sorted
+	hires    map[string]*hire
+	pools    map[pool]*poolState
+	writes   map[uint64]pendingWrite
+
+	seq      uint64 // of attempts
+	hireSeq  uint64
+	writeSeq uint64
+	dirty    bool // something changed that placement looks at
+	settled  bool
+	planAt   time.Duration
+	listAt   time.Duration
+	listing  bool
+	typesAt  time.Duration
+	out      []Effect
+}
+
+// New returns the scheduler of a term that begins now.
+func New(cfg Config, now time.Duration) *Scheduler {
+	s := &Scheduler{
+		cfg: cfg, now: now, took: now,
+		lease:    limits.Seconds(cfg.Workers.LeaseS),
+		report:   limits.Seconds(cfg.Workers.ReportS),
+		chunkLen: storage.ChunkTasks(cfg.State.ValueKB),
+		jobs:     map[string]*job{},
+		closed:   map[string]bool{},
+		teams:    map[string]*team{},
+		classes:  map[string]*class{},
+		machines: map[string]*machine{},
+		types:    map[string]*protocol.Rigkind{},
+		hires:    map[string]*hire{},
+		pools:    map[pool]*poolState{},
+		writes:   map[uint64]pendingWrite{},
+	}
+	for _, t := range cfg.Teams {
+		s.teams[t.Name] = &team{cfg: t}
+	}
+	return s
+}
+
+func (s *Scheduler) class(name string) *class {
+	c := s.classes[name]
+	if c == nil {
+		c = &class{ratio: 1}
+		s.classes[name] = c
+	}
+	return c
+}
+
+// machine returns the machine of a name, new if need be.
+func (s *Scheduler) machine(name, kind, yard string, spot bool) *machine {
+	m := s.machines[name]
+	if m == nil {
+		m = &machine{name: name, created: s.now, leaseBase: s.took, idleSince: s.now, heard: -never / 2,
+			binds: map[string]*binding{}, exits: map[string]exit{}, images: map[string]time.Duration{}, errJobs: map[string]bool{}}
+		s.machines[name] = m
+		i := sort.Search(len(s.fleet), func(i int) bool { return s.fleet[i].name >= name })
+		s.fleet = append(s.fleet, nil)
+		copy(s.fleet[i+1:], s.fleet[i:])
+		s.fleet[i] = m
+	}
+	if kind != "" {
+		m.kind, m.yard, m.spot = kind, yard, spot
+		m.typ = s.types[kind]
+	}
+	return m
+}
+
+func (s *Scheduler) dropMachine(m *machine) {
+	delete(s.machines, m.name)
+	for i, x := range s.fleet {
+		if x == m {
+			s.fleet = append(s.fleet[:i], s.fleet[i+1:]...)
+			break
+		}
+	}
+	if h := s.hires[m.hire]; h != nil {
+		h.left--
+	}
+}
+
+// bind ties a task to a machine's present session.
+func (s *Scheduler) bind(j *job, idx int, m *machine, try uint64, ph phase) *binding {
+	b := &binding{j: j, idx: idx, try: try, m: m, phase: ph, at: s.now}
+	j.bound[idx] = b
+	setBit(j.busy, idx)
+	m.binds[protocol.PieceName(j.id, idx)] = b
+	m.used = m.used.plus(j.need)
+	j.team.used = j.team.used.plus(j.need)
+	return b
+}
+
+// unbind takes a task off its machine. The caller has the evidence that it is not there and cannot come there:
+// no start of this attempt is on its way, or the session is over, or the machine is gone.
+func (s *Scheduler) unbind(b *binding) {
+	j, m := b.j, b.m
+	delete(j.bound, b.idx)
+	clearBit(j.busy, b.idx)
+	j.cursor = min(j.cursor, b.idx)
+	delete(m.binds, protocol.PieceName(j.id, b.idx))
+	m.used = m.used.minus(j.need)
+	j.team.used = j.team.used.minus(j.need)
+	if len(m.binds) == 0 {
+		m.used = room{} // no rounding is carried on
+		m.idleSince = s.now
+	}
+	s.dirty = true
+}
+
+// sortedBinds returns a machine's bindings in a fixed order.
+func (m *machine) sortedBinds() []*binding {
+	out := make([]*binding, 0, len(m.binds))
+	for _, b := range m.binds {
+		out = append(out, b)
+	}
+	sort.Slice(out, func(i, k int) bool {
+		if out[i].j.id != out[k].j.id {
+			return out[i].j.id < out[k].j.id
+		}
+		return out[i].idx < out[k].idx
+	})
+	return out
+}
+
+// sortedBound returns a job's bindings in a fixed order.
+func (j *job) sortedBound() []*binding {
+	out := make([]*binding, 0, len(j.bound))
+	for _, b := range j.bound {
+		out = append(out, b)
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].idx < out[k].idx })
+	return out
+}
--- /dev/null
+++ b/internal/coordination/scheduler/place.go
@@ -0,0 +1,405 @@
+package scheduler
+
+import (
+	"sort"
+	"time"
+
+	"quillshunt/internal/limits"
+	"quillshunt/internal/protocol"
+)
+
+// place is the scheduling pass. For each job in order of claim it filters the machines, ranks what is left on
+// the full view, and picks victims where the best machine lacks room: the paper's algorithm, request by request.
+func (s *Scheduler) place() {
+	if !s.dirty || !s.settled {
+		return
+	}
+	s.dirty = false
+	for _, j := range s.claims() {
+		for j.free() > 0 {
+			if !j.team.fits(j.need) {
+				break
+			}
+			m, victims := s.choose(j)
+			if m == nil {
+				break
+			}
+			for _, v := range victims {
+				s.stopBinding(v, "preempted for "+j.id)
+			}
+			s.bind(j, j.nextFree(), m, s.attempt(), assigned)
+		}
+	}
+}
+
+// claim is a job's place in the queue.
+type claim struct {
+	j     *job
+	guar  bool
+	late  bool
+	slack time.Duration
+}
+
+// claims orders the jobs that want room: by priority, guarantee before borrowed, then by slack to the next time
+// that can still be met, then by age. Jobs whose times are all past come after those that can be helped.
+func (s *Scheduler) claims() []*job {
+	cs := make([]claim, 0, len(s.queue))
+	for _, j := range s.queue {
+		if j.cancelled || j.over || j.free() == 0 || s.now < j.resume {
+			continue
+		}
+		c := claim{j: j, guar: j.team.guaranteed(j.need)}
+		c.slack, c.late = s.slack(j)
+		cs = append(cs, c)
+	}
+	sort.SliceStable(cs, func(a, b int) bool {
+		x, y := &cs[a], &cs[b]
+		switch {
+		case x.j.urgency != y.j.urgency:
+			return x.j.urgency > y.j.urgency
+		case x.guar != y.guar:
+			return x.guar
+		case x.late != y.late:
+			return !x.late
+		case x.slack != y.slack:
+			return x.slack < y.slack
+		case x.j.at != y.j.at:
+			return x.j.at < y.j.at
+		}
+		return x.j.id < y.j.id
+	})
+	out := make([]*job, len(cs))
+	for i := range cs {
+		out[i] = cs[i].j
+	}
+	return out
+}
+
+// slack is how long a job can still wait and meet the next of its times, and whether all of them are out of reach.
+func (s *Scheduler) slack(j *job) (time.Duration, bool) {
+	est := limits.Seconds(j.estimate())
+	for _, d := range j.dues {
+		if left := d - s.now - est; left > -est/4 {
+			return left, false
+		}
+	}
+	if len(j.dues) == 0 {
+		return never, false
+	}
+	return j.at - s.now, true
+}
+
+// usable tells whether a machine may get tasks at all.
+func (s *Scheduler) usable(m *machine) bool {
+	return m.seen && m.typ != nil && m.hire != "" && !m.notice && !m.deleting && !m.sick() &&
+		m.shift > m.deadShift && s.now <= m.heard+s.stale()
+}
+
+// allowed are the filters that no stopping of tasks can change.
+func (s *Scheduler) allowed(j *job, m *machine) bool {
+	return s.allows(j, m.kind, m.yard, m.spot) && m.size().holds(j.need) && !j.failOn[m.name]
+}
+
+func (s *Scheduler) allows(j *job, kind, yard string, spot bool) bool {
+	if spot && !j.spec.Lendable {
+		return false
+	}
+	if j.spec.Yard != "" && j.spec.Yard != yard {
+		return false
+	}
+	if len(j.spec.Rigkinds) > 0 {
+		ok := false
+		for _, k := range j.spec.Rigkinds {
+			ok = ok || k == kind
+		}
+		if !ok {
+			return false
+		}
+	}
+	if j.spec.Together || j.spec.Scatter {
+		here, total := 0, 0
+		for _, b := range j.bound {
+			total++
+			if b.m.yard == yard {
+				here++
+			}
+		}
+		if j.spec.Together && here < total {
+			return false
+		}
+		if j.spec.Scatter && here >= (j.spec.Pieces+1)/2 {
+			return false
+		}
+	}
+	return true
+}
+
+// candidate is a machine that passed the filters, with its scores.
+type candidate struct {
+	m      *machine
+	scores [weighers]float64
+}
+
+const (
+	weighOvercommit = iota
+	weighCost
+	weighImage
+	weighPack
+	weighPrice
+	weighSpeed
+	weighers
+)
+
+var multipliers = [weighers]float64{
+	weighOvercommit: limits.WeighOvercommit,
+	weighCost:       limits.WeighCost,
+	weighImage:      limits.WeighImage,
+	weighPack:       limits.WeighPack,
+	weighPrice:      limits.WeighPrice,
+	weighSpeed:      limits.WeighSpeed,
+}
+
+// choose picks a machine for one task of a job, and the tasks to stop there.
+func (s *Scheduler) choose(j *job) (*machine, []*binding) {
+	pressing := s.pressing(j)
+	var cs []candidate
+	for _, m := range s.fleet {
+		if !s.usable(m) || !s.allowed(j, m) {
+			continue
+		}
+		free := m.freeRoom()
+		over := !free.holds(j.need)
+		if over {
+			if !pressing {
+				continue
+			}
+			// The normal view: the machine without what this request may stop.
+			view := free
+			for _, b := range m.binds {
+				if s.mayStop(j, b) {
+					view = view.plus(b.j.need)
+				}
+			}
+			if !view.holds(j.need) {
+				continue
+			}
+		}
+		c := candidate{m: m}
+		if over {
+			c.scores[weighOvercommit] = -1
+			for _, b := range m.sortedBinds() {
+				if s.mayStop(j, b) {
+					c.scores[weighCost] -= s.loss(b)
+				}
+			}
+		}
+		if _, ok := m.images[j.spec.Bundle]; !ok {
+			c.scores[weighImage] = -j.spec.SizeGb / max(m.typ.PullGbPerS, 1e-3)
+		}
+		left := free.minus(j.need)
+		c.scores[weighPack] = -left.cpu
+		c.scores[weighPrice] = -m.price() / max(m.typ.Vcpus, 1)
+		if m.speedN >= 3 {
+			c.scores[weighSpeed] = -m.speedSum / float64(m.speedN)
+		} else {
+			c.scores[weighSpeed] = -1
+		}
+		cs = append(cs, c)
+	}
+	best := rank(cs)
+	if best < 0 {
+		return nil, nil
+	}
+	m := cs[best].m
+	if cs[best].scores[weighOvercommit] == 0 {
+		return m, nil
+	}
+	var options []victim
+	for _, b := range m.sortedBinds() {
+		if s.mayStop(j, b) {
+			options = append(options, victim{b: b, need: b.j.need, loss: s.loss(b)})
+		}
+	}
+	short := j.need.minus(m.freeRoom())
+	set := cheapest(options, short)
+	if set == nil {
+		return nil, nil
+	}
+	out := make([]*binding, len(set))
+	for i, k := range set {
+		out[i] = options[k].b
+	}
+	return m, out
+}
+
+// rank returns the candidate with the highest sum of multiplier times score, each score rescaled between the candidates'
+// lowest and highest, or -1. Of equals the first by name wins.
+func rank(cs []candidate) int {
+	if len(cs) == 0 {
+		return -1
+	}
+	lo, hi := cs[0].scores, cs[0].scores
+	for i := range cs {
+		for w := range weighers {
+			lo[w] = min(lo[w], cs[i].scores[w])
+			hi[w] = max(hi[w], cs[i].scores[w])
+		}
+	}
+	best, top := -1, 0.0
+	for i := range cs {
+		sum := 0.0
+		for w := range weighers {
+			if hi[w] > lo[w] {
+				sum += multipliers[w] * (cs[i].scores[w] - lo[w]) / (hi[w] - lo[w])
+			}
+		}
+		if best < 0 || sum > top {
+			best, top = i, sum
+		}
+	}
+	return best
+}
+
+// pressing tells whether a job should get room at somebody else's cost: it is within its guarantee while others borrow, or of higher
+// priority, and waiting would break its times.
+func (s *Scheduler) pressing(j *job) bool {
+	slack, late := s.slack(j)
+	if late {
+		return false
+	}
+	return slack < limits.PreemptSlack || (j.team.guaranteed(j.need) && s.now-j.at > limits.PreemptSlack)
+}
+
+// mayStop is the protocol's rule of who may be stopped for whom.
+func (s *Scheduler) mayStop(j *job, b *binding) bool {
+	if b.stop || b.phase == assigned || b.j == j {
+		return false
+	}
+	if b.j.urgency < j.urgency {
+		return true
+	}
+	return b.j.team != j.team && j.team.guaranteed(j.need) && !b.j.team.guaranteed(room{})
+}
+
+// loss is what stopping a task would waste: its work since the last checkpoint, or its whole run time where it
+// has none, weighted by how often it was stopped before so that the cheapest do not starve.
+func (s *Scheduler) loss(b *binding) float64 {
+	ran := 0.0
+	if b.phase == running {
+		ran = (s.now - b.runAt).Seconds()
+	}
+	if b.j.spec.BookmarkS > 0 {
+		for ran > b.j.spec.BookmarkS {
+			ran -= b.j.spec.BookmarkS
+		}
+	}
+	return (ran + 1) * b.j.need.cpu * (1 + limits.RestartWeight*float64(b.j.stops[b.idx]))
+}
+
+// victim is a task that may be stopped.
+type victim struct {
+	b    *binding
+	need room
+	loss float64
+}
+
+// cheapest returns the indexes of the set of least loss that covers what is short in every resource, or nil. Up to a cutoff every set
+// is tried, else tasks are added by least loss per unit of room.
+func cheapest(options []victim, short room) []int {
+	covered := func(have room) bool { return have.holds(short) }
+	if len(options) <= limits.VictimCutoff {
+		bestLoss, best := 0.0, -1
+		for set := 1; set < 1<<len(options); set++ {
+			var have room
+			loss := 0.0
+			for i := range options {
+				if set>>i&1 != 0 {
+					have = have.plus(options[i].need)
+					loss += options[i].loss
+				}
+			}
+			if covered(have) && (best < 0 || loss < bestLoss) {
+				bestLoss, best = loss, set
+			}
+		}
+		if best < 0 {
+			return nil
+		}
+		var out []int
+		for i := range options {
+			if best>>i&1 != 0 {
+				out = append(out, i)
+			}
+		}
+		return out
+	}
+	unit := func(v *victim) float64 {
+		u := 0.0
+		if short.cpu > 0 {
+			u += min(v.need.cpu, short.cpu) / short.cpu
+		}
+		if short.gpu > 0 {
+			u += min(v.need.gpu, short.gpu) / short.gpu
+		}
+		if short.ram > 0 {
+			u += min(v.need.ram, short.ram) / short.ram
+		}
+		return max(u, 1e-9)
+	}
+	order := make([]int, len(options))
+	for i := range order {
+		order[i] = i
+	}
+	sort.SliceStable(order, func(a, b int) bool {
+		x, y := &options[order[a]], &options[order[b]]
+		return x.loss/unit(x) < y.loss/unit(y)
+	})
+	var have room
+	var out []int
+	for _, i := range order {
+		if covered(have) {
+			break
+		}
+		have = have.plus(options[i].need)
+		out = append(out, i)
+	}
+	if !covered(have) {
+		return nil
+	}
+	// Drop what turned out not to be needed, the dearest first.
+	for k := len(out) - 1; k >= 0; k-- {
+		if less := have.minus(options[out[k]].need); covered(less) {
+			have = less
+			out = append(out[:k], out[k+1:]...)
+		}
+	}
+	return out
+}
+
+// kindFits tells whether some allowed type can hold a task of the job.
+func kindFits(spec *protocol.Spec, types []protocol.Rigkind) bool {
+	need := room{spec.Vcpus, spec.Accelerators, spec.RamGb}
+	for i := range types {
+		t := &types[i]
+		ok := len(spec.Rigkinds) == 0
+		for _, k := range spec.Rigkinds {
+			ok = ok || k == t.Sku
+		}
+		if spec.Yard != "" {
+			in := false
+			for _, y := range t.Yards {
+				in = in || y == spec.Yard
+			}
+			ok = ok && in
+		}
+		if ok && (room{t.Vcpus, t.Accelerators, t.RamGb}).holds(need) {
+			return true
+		}
+	}
+	return false
+}
+
+// Runnable tells whether a job could ever run: a task fits some allowed type, and its team's limit.
+func Runnable(spec *protocol.Spec, types []protocol.Rigkind, cpusMax, gpusMax float64) bool {
+	return kindFits(spec, types) && spec.Vcpus <= cpusMax && spec.Accelerators <= gpusMax
+}
--- /dev/null
+++ b/internal/coordination/scheduler/report.go
@@ -0,0 +1,326 @@
+package scheduler
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"quillshunt/internal/limits"
+	"quillshunt/internal/protocol"
+)
+
+// reportIn takes a worker's report, and answers it if we may.
+func (s *Scheduler) reportIn(e ReportIn) {
+	r := e.Report
+	if !e.Entitled || !r.Valid() || r.Baton > s.cfg.Term {
+		s.emit(ReplyOut{Ref: e.Ref})
+		return
+	}
+	m := s.machine(r.Rig, r.Rigkind, r.Yard, r.Lendable)
+	if m.seen && (r.Shift < m.shift || (r.Shift == m.shift && r.Tally <= m.tally)) || r.Shift <= m.deadShift {
+		// Late or repeated: the worker waits for no answer to it, and its task list is old.
+		s.emit(ReplyOut{Ref: e.Ref})
+		return
+	}
+	if r.Shift > m.shift && m.seen {
+		for _, b := range m.sortedBinds() {
+			if b.phase != assigned {
+				s.note(true, "session lost", "machine", m.name, "job", b.j.id, "task", b.idx, "attempt", b.try)
+			}
+			s.unbind(b) // the worker killed the tasks of earlier sessions
+		}
+		m.exits = map[string]exit{}
+		m.images = map[string]time.Duration{}
+	}
+	if !m.seen || r.Shift > m.shift {
+		s.dirty = true
+	}
+	if !m.seen {
+		m.upAt = s.now
+		m.idleSince = s.now
+	}
+	m.seen, m.shift, m.tally, m.addr = true, r.Shift, r.Tally, r.Address
+	m.heard, m.leaseBase = s.now, s.now
+	if m.hire == "" {
+		s.cover(m)
+	}
+	if r.WarningS != nil && !m.notice {
+		m.notice = true
+		m.noticeEnd = s.now + limits.Seconds(*r.WarningS)
+		s.note(false, "spot notice", "machine", m.name, "seconds", *r.WarningS, "tasks", len(m.binds))
+		s.withdraw(m)
+	}
+	orders := s.takeTasks(m, r)
+	if m.notice {
+		s.clearForNotice(m)
+	}
+	s.place()
+	orders = s.orders(m, r, orders)
+	s.emit(ReplyOut{Ref: e.Ref, OK: true, Orders: orders})
+}
+
+// takeTasks compares what a machine has with what we think it has. It returns orders about tasks that should not be there.
+func (s *Scheduler) takeTasks(m *machine, r *protocol.Report) []protocol.Order {
+	var orders []protocol.Order
+	listed := make(map[string]bool, len(r.Pieces))
+	exits := make(map[string]exit, len(m.exits))
+	zero := 0.0
+	for i := range r.Pieces {
+		t := &r.Pieces[i]
+		jobID, idx, ok := protocol.ParsePiece(t.Piece)
+		if !ok {
+			continue
+		}
+		j := s.jobs[jobID]
+		known := j != nil && idx < j.spec.Pieces
+		b := m.binds[t.Piece]
+		if t.Standing == protocol.Ended {
+			ours := b != nil && b.try == t.Try
+			if ours {
+				listed[t.Piece] = true
+			}
+			x, seen := m.exits[exitKey(t)]
+			switch {
+			case seen:
+			case ours:
+				x = s.ended(b, t)
+			case known && t.Cause == protocol.CauseDone && !j.cancelled:
+				// An attempt that we had given up, or one of an earlier term: the result counts. If the task is
+				// bound elsewhere meanwhile, it is stopped there.
+				x = exit{try: t.Try, j: j}
+				x.chunk, x.ver = s.taskDone(j, idx)
+				if o := j.bound[idx]; o != nil && o != b {
+					if o.phase == assigned {
+						s.unbind(o)
+					} else {
+						s.stopBinding(o, "done elsewhere")
+					}
+				}
+				s.finish(j)
+			default:
+				x = exit{try: t.Try}
+			}
+			exits[exitKey(t)] = x
+			if x.j == nil || x.j.over || x.j.chunks[x.chunk].durable >= x.ver {
+				orders = append(orders, protocol.Order{Verb: protocol.VerbForget, Piece: t.Piece, Try: t.Try})
+			}
+			continue
+		}
+		// A task that fetches, runs or saves.
+		if b != nil && b.try != t.Try && b.phase != assigned && t.Try > b.try {
+			// A later attempt than ours, of an earlier order of this term? Attempts rise, so ours is over.
+			s.unbind(b)
+			b = nil
+		}
+		switch {
+		case b != nil && b.try == t.Try:
+			listed[t.Piece] = true
+			s.progress(b, t)
+		case known && !j.cancelled && !getBit(j.done, idx) && (j.bound[idx] == nil || j.bound[idx].phase == assigned):
+			// Running, but not by our order: of an earlier term, mostly. It is ours now.
+			if o := j.bound[idx]; o != nil {
+				s.unbind(o)
+			}
+			b := s.bind(j, idx, m, t.Try, sent)
+			s.progress(b, t)
+			listed[t.Piece] = true
+			if !s.settled {
+				break
+			}
+			s.note(true, "unexpected task adopted", "job", j.id, "task", idx, "attempt", t.Try, "machine", m.name)
+		case b != nil && b.phase != assigned:
+			// An older attempt is still here; our start is refused as busy. Keep the one that is here.
+			try := b.try
+			s.unbind(b)
+			b = s.bind(j, idx, m, t.Try, sent)
+			s.progress(b, t)
+			listed[t.Piece] = true
+			s.note(true, "older attempt still there", "job", j.id, "task", idx, "attempt", t.Try, "newer", try, "machine", m.name)
+		default:
+			orders = append(orders, protocol.Order{Verb: protocol.VerbStop, Piece: t.Piece, Try: t.Try, LeewayS: &zero})
+			if known && j.cancelled {
+				break
+			}
+			s.note(true, "stray task", "piece", t.Piece, "attempt", t.Try, "machine", m.name)
+		}
+	}
+	m.exits = exits
+	for _, b := range m.sortedBinds() {
+		if b.phase == assigned || listed[protocol.PieceName(b.j.id, b.idx)] {
+			continue
+		}
+		// Every start goes out in the answer to a report. The worker has one report in flight and sends the next only once that
+		// exchange is over, so a start that a later report lacks can no longer arrive.
+		if b.phase != sent {
+			s.note(true, "task vanished", "job", b.j.id, "task", b.idx, "attempt", b.try, "machine", m.name)
+		}
+		s.unbind(b)
+	}
+	return orders
+}
+
+func exitKey(t *protocol.TaskReport) string { return fmt.Sprintf("%s#%d", t.Piece, t.Try) }
+
+// progress notes what a bound task is doing.
+func (s *Scheduler) progress(b *binding, t *protocol.TaskReport) {
+	switch t.Standing {
+	case protocol.Running:
+		if b.phase != running {
+			b.phase, b.runAt = running, s.now
+			b.m.images[b.j.spec.Bundle] = s.now
+		}
+	case protocol.Saving:
+		b.phase = saving
+	default:
+		b.phase = fetching
+	}
+	if b.j.cancelled {
+		s.stopBinding(b, "cancelled")
+	}
+}
+
+// ended takes the end of one of our tasks.
+func (s *Scheduler) ended(b *binding, t *protocol.TaskReport) exit {
+	j, m, idx := b.j, b.m, b.idx
+	ran := 0.0
+	if b.phase == running {
+		ran = (s.now - b.runAt).Seconds()
+	}
+	s.unbind(b)
+	x := exit{try: t.Try}
+	switch t.Cause {
+	case protocol.CauseDone:
+		m.images[j.spec.Bundle] = s.now
+		m.errs, m.errJobs = 0, map[string]bool{}
+		if !j.cancelled {
+			x.j = j
+			x.chunk, x.ver = s.taskDone(j, idx)
+			if ran > 0 {
+				s.learn(j, m, ran)
+			}
+		}
+	case protocol.CauseError:
+		s.note(true, "task failed", "job", j.id, "task", idx, "attempt", t.Try, "machine", m.name)
+		s.failed(j, m)
+	case protocol.CauseHalted:
+		if b.stop && b.stopWhy != "cancelled" {
+			j.stops[idx]++
+		}
+	case protocol.CauseNoSuch:
+		// The job's description cannot be had; try again, but not at once.
+		j.resume = s.now + limits.JobBackoffMin
+		s.note(true, "start refused", "job", j.id, "task", idx, "machine", m.name, "reason", t.Cause)
+	default:
+		s.note(false, "start refused", "job", j.id, "task", idx, "machine", m.name, "reason", t.Cause)
+	}
+	s.finish(j)
+	return x
+}
+
+// learn takes a task's run time into the estimates.
+func (s *Scheduler) learn(j *job, m *machine, ran float64) {
+	if j.spec.ReckonS > 0 {
+		c := j.class
+		c.n++
+		w := max(1/float64(c.n), limits.LearnWeight)
+		c.ratio += w * (ran/j.spec.ReckonS - c.ratio)
+	}
+	if j.runN >= 3 {
+		m.speedN++
+		m.speedSum += ran / (j.runSum / float64(j.runN))
+	}
+	j.runSum += ran
+	j.runN++
+}
+
+// failed weighs who is to blame for a failure: the machine, or the job.
+func (s *Scheduler) failed(j *job, m *machine) {
+	j.failOn[m.name] = true
+	if len(j.failOn) >= limits.JobFaultMachines {
+		// It fails wherever it goes, with no success between. It waits longer and longer, and its failures
+		// condemn no machine.
+		j.backoff = min(max(2*j.backoff, limits.JobBackoffMin), limits.JobBackoffMax)
+		j.resume = s.now + j.backoff
+		for _, o := range s.fleet {
+			delete(o.errJobs, j.id)
+		}
+		return
+	}
+	m.errs++
+	m.errJobs[j.id] = true
+}
+
+// sick tells whether a machine should get no more tasks: it has failed several in a row, and not just those of a job that
+// fails everywhere.
+func (m *machine) sick() bool {
+	return m.errs >= limits.SickErrors && len(m.errJobs) > 0
+}
+
+// clearForNotice stops tasks on a machine that the cloud takes away: in time to save, or at once if they cannot be done before.
+func (s *Scheduler) clearForNotice(m *machine) {
+	left := (m.noticeEnd - s.now).Seconds()
+	for _, b := range m.sortedBinds() {
+		if b.stop || b.phase == assigned {
+			continue
+		}
+		need := b.j.estimate()
+		if b.phase == running {
+			need -= (s.now - b.runAt).Seconds()
+		}
+		if b.j.spec.BookmarkS > 0 {
+			if left < b.j.spec.StashS+3*s.report.Seconds() {
+				s.stopBinding(b, "spot notice")
+			}
+		} else if need > left {
+			s.stopBinding(b, "spot notice")
+		}
+	}
+}
+
+// orders are what a machine is told: stops and forgets first, then starts that fit into room that is surely free.
+func (s *Scheduler) orders(m *machine, r *protocol.Report, orders []protocol.Order) []protocol.Order {
+	zero := 0.0
+	var held room // by tasks that are on the machine or on their way
+	binds := m.sortedBinds()
+	for _, b := range binds {
+		if b.phase == assigned {
+			continue
+		}
+		held = held.plus(b.j.need)
+		if b.stop {
+			o := protocol.Order{Verb: protocol.VerbStop, Piece: protocol.PieceName(b.j.id, b.idx), Try: b.try, LeewayS: &zero}
+			if b.j.spec.BookmarkS > 0 && !b.j.cancelled && b.stopWhy != "done elsewhere" {
+				grace := b.j.spec.StashS + limits.StashMargin.Seconds()
+				o.LeewayS = &grace
+			}
+			orders = append(orders, o)
+		}
+	}
+	sort.SliceStable(binds, func(a, b int) bool { return binds[a].j.urgency > binds[b].j.urgency })
+	size := m.size()
+	for _, b := range binds {
+		if b.phase != assigned {
+			continue
+		}
+		if m.notice || m.deleting || b.j.cancelled {
+			s.unbind(b)
+			continue
+		}
+		if !size.holds(held.plus(b.j.need)) {
+			continue // its room is not confirmed yet
+		}
+		held = held.plus(b.j.need)
+		b.phase, b.sentTally, b.at = sent, r.Tally, s.now
+		orders = append(orders, protocol.Order{Verb: protocol.VerbStart, Piece: protocol.PieceName(b.j.id, b.idx), Try: b.try})
+		if len(orders) >= limits.MaxOrders {
+			break
+		}
+	}
+	return orders
+}
+
+// attempt returns the next attempt number; attempts rise across leaders because the term is their high part.
+func (s *Scheduler) attempt() uint64 {
+	s.seq++
+	return s.cfg.Term<<limits.TryTermShift | s.seq
+}
--- /dev/null
+++ b/internal/coordination/scheduler/step.go
@@ -0,0 +1,405 @@
+package scheduler
+
+import (
+	"sort"
+	"time"
+
+	"quillshunt/internal/limits"
+	"quillshunt/internal/protocol"
+	"quillshunt/internal/storage"
+)
+
+type writeKind uint8
+
+const (
+	writeChunk writeKind = iota
+	writeFinal
+	writeHire
+	writeHireRemove
+	writeTypes
+)
+
+// pendingWrite is what a WriteOut was for.
+type pendingWrite struct {
+	kind writeKind
+	j    *job
+	n    int    // chunk
+	ver  uint64 // chunk version
+	hire string
+}
+
+// Step takes one event. The effects are to be carried out in order.
+func (s *Scheduler) Step(e Event, now time.Duration) []Effect {
+	if now > s.now {
+		s.now = now
+	}
+	s.out = nil
+	switch e := e.(type) {
+	case JobSeen:
+		s.jobSeen(e)
+	case JobLeft:
+		if j := s.jobs[e.ID]; j != nil && !j.finishing && e.Stamp > j.stamp {
+			s.closeJob(j) // somebody else removed it: not in the protocol of our nodes, but then it is over
+		}
+	case FinLoaded:
+		s.finLoaded(e)
+	case HireLoaded:
+		s.hireLoaded(e)
+	case Loaded:
+		s.note(false, "rebuilding", "jobs", len(s.jobs), "machines", len(s.machines), "hires", len(s.hires))
+		s.typesAt, s.listAt = 0, 0
+		s.tick(true)
+	case ReportIn:
+		s.reportIn(e)
+	case WriteDone:
+		s.writeDone(e)
+	case HireDone:
+		s.hireDone(e)
+	case DeleteDone:
+		s.deleteDone(e)
+	case ListDone:
+		s.listDone(e)
+	case TypesDone:
+		s.typesDone(e)
+	case CountsIn:
+		s.counts(e)
+	case Tick:
+		s.tick(e.Entitled)
+	}
+	return s.out
+}
+
+func (s *Scheduler) emit(e Effect) { s.out = append(s.out, e) }
+
+func (s *Scheduler) note(warn bool, msg string, args ...any) {
+	s.emit(Note{Warn: warn, Msg: msg, Args: args})
+}
+
+func (s *Scheduler) write(p pendingWrite, guards []protocol.Guard, ops []protocol.Op) {
+	s.writeSeq++
+	s.writes[s.writeSeq] = p
+	s.emit(WriteOut{ID: s.writeSeq, Guards: guards, Ops: ops})
+}
+
+// Jobs.
+
+func (s *Scheduler) jobSeen(e JobSeen) {
+	j := s.jobs[e.ID]
+	if j == nil {
+		if s.closed[e.ID] {
+			return
+		}
+		t := s.teams[e.Rec.Spec.Crew]
+		if t == nil {
+			return // a team that the settings no longer know; its jobs stay as they are
+		}
+		u, _ := protocol.ParseUrgency(e.Rec.Spec.Urgency)
+		words := (e.Rec.Spec.Pieces + 63) / 64
+		j = &job{
+			id: e.ID, spec: e.Rec.Spec, urgency: u, team: t, class: s.class(e.Rec.Spec.Docket),
+			need: room{e.Rec.Spec.Vcpus, e.Rec.Spec.Accelerators, e.Rec.Spec.RamGb},
+			at:   s.now - e.Age, done: make([]uint64, words), busy: make([]uint64, words),
+			bound: map[int]*binding{}, stops: map[int]int{}, failOn: map[string]bool{},
+			chunks: make([]chunk, (e.Rec.Spec.Pieces+s.chunkLen-1)/s.chunkLen),
+		}
+		j.dues = s.dues(j)
+		s.jobs[e.ID] = j
+		s.queue = append(s.queue, j)
+	}
+	if e.Stamp < j.stamp {
+		return
+	}
+	j.stamp = e.Stamp
+	if e.Rec.Cancelled && !j.cancelled {
+		j.cancelled, j.cancelAt = true, s.now
+		s.note(false, "job cancelled", "job", j.id, "bound", len(j.bound))
+	}
+	if j.cancelled {
+		s.stopJob(j)
+		s.finish(j)
+	}
+	s.dirty = true
+}
+
+// dues are the times by which the job should be complete, from its own deadline and from the aims of its class.
+func (s *Scheduler) dues(j *job) []time.Duration {
+	var out []time.Duration
+	for _, o := range s.cfg.Objectives {
+		if o.Class != j.spec.Docket {
+			continue
+		}
+		switch {
+		case o.Kind == "deadline" && j.spec.DueS > 0:
+			out = append(out, j.at+limits.Seconds(j.spec.DueS*max(o.Times, 1)))
+		case o.Kind == "finished" && o.WithinS > 0:
+			out = append(out, j.at+limits.Seconds(o.WithinS))
+		case o.Kind == "wait" && o.WithinS > 0:
+			out = append(out, j.at+limits.Seconds(o.WithinS+j.spec.ReckonS))
+		}
+	}
+	if len(out) == 0 && j.spec.DueS > 0 {
+		out = append(out, j.at+limits.Seconds(j.spec.DueS))
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a] < out[b] })
+	return out
+}
+
+// stopJob takes a cancelled job off its machines.
+func (s *Scheduler) stopJob(j *job) {
+	for _, b := range j.sortedBound() {
+		if b.phase == assigned {
+			s.unbind(b)
+			continue
+		}
+		s.stopBinding(b, "cancelled")
+	}
+}
+
+func (s *Scheduler) stopBinding(b *binding, why string) {
+	if b.stop {
+		return
+	}
+	b.stop, b.stopWhy, b.stopAt = true, why, s.now
+	s.note(false, "stopping", "job", b.j.id, "task", b.idx, "attempt", b.try, "machine", b.m.name, "reason", why)
+}
+
+// finish writes a job's final record once nothing of it is left to do.
+func (s *Scheduler) finish(j *job) {
+	if j.over || j.finishing || len(j.bound) > 0 || (!j.cancelled && j.doneN < j.spec.Pieces) {
+		return
+	}
+	standing := protocol.Done
+	if j.cancelled {
+		standing = protocol.Aborted
+	}
+	ops := []protocol.Op{
+		{Write: storage.FinalKey(j.id), Data: protocol.Encode(storage.Final{Standing: standing})},
+		{Remove: storage.OpenKey(j.id)},
+	}
+	for i := range j.chunks {
+		if j.chunks[i].writing {
+			return // its answer comes back here
+		}
+		if j.chunks[i].stamp != 0 && len(ops) < s.cfg.State.TxnOps {
+			ops = append(ops, protocol.Op{Remove: storage.FinKey(j.id, i*s.chunkLen)})
+		}
+	}
+	j.finishing, j.finishAt = true, s.now
+	s.write(pendingWrite{kind: writeFinal, j: j},
+		[]protocol.Guard{{Path: storage.OpenKey(j.id), Stamp: j.stamp}}, ops)
+}
+
+// closeJob forgets a job whose final record is durable.
+func (s *Scheduler) closeJob(j *job) {
+	j.over = true
+	for _, b := range j.sortedBound() {
+		if b.phase == assigned {
+			s.unbind(b)
+		} else {
+			s.stopBinding(b, "job over")
+		}
+	}
+	delete(s.jobs, j.id)
+	s.closed[j.id] = true
+	for i, x := range s.queue {
+		if x == j {
+			s.queue = append(s.queue[:i], s.queue[i+1:]...)
+			break
+		}
+	}
+}
+
+func (s *Scheduler) finLoaded(e FinLoaded) {
+	j := s.jobs[e.ID]
+	if j == nil {
+		return
+	}
+	_ = e.Rec.Decode(func(i int) {
+		if i >= 0 && i < j.spec.Pieces && !getBit(j.done, i) {
+			setBit(j.done, i)
+			j.doneN++
+		}
+	})
+	if e.Rec.Base%s.chunkLen == 0 && e.Rec.Base/s.chunkLen < len(j.chunks) {
+		j.chunks[e.Rec.Base/s.chunkLen].stamp = e.Stamp
+	}
+}
+
+// taskDone notes a finished task. The worker is told to forget it only once this is durable.
+func (s *Scheduler) taskDone(j *job, idx int) (n int, ver uint64) {
+	n = idx / s.chunkLen
+	c := &j.chunks[n]
+	if !getBit(j.done, idx) {
+		setBit(j.done, idx)
+		j.doneN++
+		c.ver++
+	}
+	j.failOn = map[string]bool{}
+	j.backoff, j.resume = 0, 0
+	return n, c.ver
+}
+
+// flush writes finished tasks down, the ones that wait longest first and not too often.
+func (s *Scheduler) flush() {
+	inFlight := 0
+	for _, p := range s.writes {
+		if p.kind == writeChunk {
+			inFlight++
+		}
+	}
+	for _, j := range s.queue {
+		s.finish(j)
+		if j.finishing || j.cancelled {
+			continue
+		}
+		for i := range j.chunks {
+			c := &j.chunks[i]
+			if c.durable == c.ver || c.writing || s.now < c.wroteAt+limits.FlushEvery {
+				continue
+			}
+			if inFlight >= limits.FlushInFlight {
+				return
+			}
+			inFlight++
+			c.writing, c.wroteAt = true, s.now
+			key := storage.FinKey(j.id, i*s.chunkLen)
+			// Guarded by its own stamp as well: an earlier write of this chunk that was given up
+			// must not come late and undo this one.
+			s.write(pendingWrite{kind: writeChunk, j: j, n: i, ver: c.ver},
+				[]protocol.Guard{{Path: key, Stamp: c.stamp}},
+				[]protocol.Op{{Write: key, Data: protocol.Encode(storage.EncodeFin(j.done, i*s.chunkLen, s.chunkLen))}})
+		}
+	}
+}
+
+func (s *Scheduler) writeDone(e WriteDone) {
+	p, ok := s.writes[e.ID]
+	if !ok {
+		return
+	}
+	delete(s.writes, e.ID)
+	switch p.kind {
+	case writeChunk:
+		c := &p.j.chunks[p.n]
+		c.writing = false
+		if e.OK {
+			c.stamp, c.durable = e.Rev, max(c.durable, p.ver)
+		}
+		s.finish(p.j)
+	case writeFinal:
+		p.j.finishing = false
+		if e.OK {
+			s.note(false, "job over", "job", p.j.id, "cancelled", p.j.cancelled, "tasks", p.j.spec.Pieces)
+			s.closeJob(p.j)
+		}
+		// Otherwise it was cancelled meanwhile: the watch brings the new record, and finish runs again.
+	case writeHire:
+		h := s.hires[p.hire]
+		if h == nil {
+			return
+		}
+		if !e.OK {
+			delete(s.hires, p.hire)
+			return
+		}
+		h.stamp = e.Rev
+		if h.state == hireWriting {
+			h.state = hireAsking
+			s.emit(HireOut{Req: h.request()})
+		}
+	case writeHireRemove:
+		if e.OK {
+			delete(s.hires, p.hire)
+		} else if h := s.hires[p.hire]; h != nil {
+			h.state = hireAnswered
+		}
+	case writeTypes:
+	}
+}
+
+func (s *Scheduler) counts(e CountsIn) {
+	j := s.jobs[e.ID]
+	if j == nil {
+		s.emit(CountsOut{Ref: e.Ref})
+		return
+	}
+	n := 0
+	for _, b := range j.bound {
+		if b.phase == running || b.phase == saving {
+			n++
+		}
+	}
+	s.emit(CountsOut{Ref: e.Ref, Known: true, Done: j.doneN, Running: n})
+}
+
+// tick looks at everything that only time changes.
+func (s *Scheduler) tick(entitled bool) {
+	s.expire()
+	if !entitled {
+		return
+	}
+	s.flush()
+	s.place()
+	s.manageFleet()
+}
+
+// expire frees the tasks of sessions that are surely over.
+func (s *Scheduler) expire() {
+	for _, m := range s.fleet {
+		if m.deadShift >= max(m.shift, 1) || s.now < m.leaseBase+limits.WaitOut(s.lease) {
+			if s.now > m.heard+s.stale() {
+				s.withdraw(m)
+			}
+			continue
+		}
+		// The worker sent the last report that we answered before it arrived here, so by its own clock
+		// and ours its lease is over and it has killed its tasks.
+		if len(m.binds) > 0 {
+			s.note(true, "session lapsed", "machine", m.name, "tasks", len(m.binds))
+		}
+		for _, b := range m.sortedBinds() {
+			s.unbind(b)
+		}
+		m.exits = map[string]exit{}
+		m.deadShift = max(m.shift, 1)
+		if !m.seen {
+			m.deadShift = 0 // we do not know which session it was in; see settle
+		}
+	}
+	if !s.settled {
+		s.settle()
+	}
+}
+
+// stale is how long a machine may be silent and still get tasks.
+func (s *Scheduler) stale() time.Duration {
+	return time.Duration(float64(s.report) * limits.FreshReports)
+}
+
+// withdraw takes back tasks that no order has left for.
+func (s *Scheduler) withdraw(m *machine) {
+	for _, b := range m.sortedBinds() {
+		if b.phase == assigned {
+			s.unbind(b)
+		}
+	}
+}
+
+// settle ends the time after a take-over in which tasks may run that we have not heard of: each machine that
+// may hold some has reported to us or is gone, or every lease from before is over.
+func (s *Scheduler) settle() {
+	if s.now < s.took+limits.WaitOut(s.lease) {
+		for _, h := range s.hires {
+			if h.state == hireWriting || h.state == hireAsking {
+				return
+			}
+		}
+		for _, m := range s.fleet {
+			if !m.seen {
+				return
+			}
+		}
+	}
+	s.settled, s.dirty = true, true
+	s.note(false, "rebuilt", "machines", len(s.fleet), "jobs", len(s.jobs))
+}
--- /dev/null
+++ b/internal/limits/limits.go
@@ -0,0 +1,264 @@
+// Package limits holds every constant of quillshunt that is a matter of
+// judgement or of the published protocol, each with its unit and the reason for
+// its value. What depends on a deployment is a function of its settings here.
+package limits
+
+import "time"
+
+// Bounds of the wire, from the protocol page.
+const (
+	// MaxBodyBytes bounds a request body and a response to users and workers.
+	MaxBodyBytes = 64 << 10
+	// MaxHeadBytes bounds a request line with its headers; the protocol needs
+	// a few hundred bytes, so this only stops a sender that never ends.
+	MaxHeadBytes = 8 << 10
+	// MaxHeaders bounds the number of header lines for the same reason.
+	MaxHeaders = 64
+	// MaxChunkLine bounds the size line of one chunk, extensions included.
+	MaxChunkLine = 256
+	// MaxUpstreamBytes bounds a response that we read from the state service or
+	// the cloud, in bytes. A listing is at most 512 KiB; a watch answer has no
+	// limit of its own, and one past this is given up and the keys are read anew.
+	MaxUpstreamBytes = 4 << 20
+	// MaxPieces is the largest number of tasks in a job.
+	MaxPieces = 100_000
+	// MaxNameBytes bounds names of jobs, teams, classes and images. State keys end at
+	// 200 bytes, and the longest key adds a prefix and a chunk number.
+	MaxNameBytes = 128
+	// MaxAmount bounds amounts and durations, so that sums stay exact in a float64.
+	MaxAmount = 1e12
+	// MaxRigkinds bounds the list of allowed machine types of a job.
+	MaxRigkinds = 256
+	// MaxCBORNesting bounds nesting in a body; the protocol's deepest message has four levels.
+	MaxCBORNesting = 16
+	// HireMax is the largest Number of one rental request.
+	HireMax = 50
+	// DeleteMax is the largest number of names in one deletion.
+	DeleteMax = 100
+	// ListPage is the Limit asked for when the cloud's machines are listed.
+	ListPage = 500
+	// StatePage is the Limit asked for when keys are listed; pages stay under
+	// MaxUpstreamBytes at the largest value size seen so far.
+	StatePage = 200
+	// GuardsPerOp is how many guards a transaction may have for each operation.
+	GuardsPerOp = 4
+)
+
+// Clocks.
+const (
+	// DriftShare is the protocol's bound on how far two steady clocks drift apart.
+	DriftShare = 0.0005
+	// LeaseMargin is added wherever we wait out someone else's lease, for timers
+	// that fire in steps of some milliseconds.
+	LeaseMargin = 500 * time.Millisecond
+	// HoldMargin is taken off our own entitlement, for the same reason.
+	HoldMargin = 500 * time.Millisecond
+)
+
+// Waits for answers.
+const (
+	// StateTimeout bounds one call to the state service, whose usual answer takes
+	// 10 ms and now and then a few hundred.
+	StateTimeout = 1500 * time.Millisecond
+	// CloudTimeout bounds one call to the cloud. It answers within a second or so.
+	CloudTimeout = 8 * time.Second
+	// WatchHold is how long a watch stays open when nothing changes.
+	WatchHold = 30 * time.Second
+	// WatchGrace is how long after WatchHold an answer may still come. Watches stay
+	// open in an outage, so a long wait is no fault; a dead connection is
+	// noticed after this.
+	WatchGrace = 10 * time.Second
+	// DialTimeout bounds a connection attempt.
+	DialTimeout = time.Second
+	// UserAnswer is the time in which a user's request is answered whatever happens.
+	// A user waits 5 s for a submission and 2 s for a poll.
+	UserAnswer = 1800 * time.Millisecond
+	// SubmitAnswer is the same for submissions and cancellations.
+	SubmitAnswer = 4 * time.Second
+	// PeerTimeout bounds the leader's answer on counts; they are for display only.
+	PeerTimeout = 250 * time.Millisecond
+	// RetryMin and RetryMax bound the jittered pause between tries at the state service and the cloud.
+	RetryMin = 100 * time.Millisecond
+	RetryMax = 2 * time.Second
+	// RetryAfter is what an overloaded node tells a user, in whole seconds.
+	RetryAfter = 1
+)
+
+// Connections and stages.
+const (
+	// IdleConn closes an inbound connection that has been silent this long. Users
+	// poll every 5 s and workers report more often.
+	IdleConn = 60 * time.Second
+	// SlowRequest closes a connection whose request does not become whole in this time.
+	SlowRequest = 10 * time.Second
+	// SweepEvery is how often connections are checked for the two limits above.
+	SweepEvery = 2 * time.Second
+	// InboundShare is the part of max_sockets that inbound connections may use; the
+	// rest is for the state service, the cloud, workers and controllers.
+	InboundShare = 0.75
+	// UserStage is how many users' requests are worked on at once; one more is
+	// told to come back. Each holds one state-service call.
+	UserStage = 64
+	// ReportMailbox is the mailbox of the leader's scheduler, in messages. It holds one
+	// report of each of several hundred machines.
+	ReportMailbox = 512
+	// StateConns is how many connections to the state service are kept.
+	StateConns = 8
+	// PeerStreams is how many calls of one other controller are served at once.
+	PeerStreams = 64
+	// PeerIdle is how long a connection to another controller is kept unused.
+	PeerIdle = 10 * time.Minute
+	// FinalCache is how many final states a node keeps, so that late polls cost no read.
+	FinalCache = 4096
+	// WriterQueue is how many writes of the leader wait for the state service.
+	WriterQueue = 256
+	// StaleReport is how long a report may wait in our mailbox; the worker drops an answer after 4 s.
+	StaleReport = 3 * time.Second
+	// WorkerStage is how many direct commands are in flight at once.
+	WorkerStage = 32
+)
+
+// Leadership.
+const (
+	// HoldLife is the life of the leader's hold. With the workers' lease it
+	// has to outlast an ordinary state-service outage; a crashed leader is back and
+	// takes over by its own name long before, so a long hold costs little.
+	HoldLife = 25 * time.Second
+	// TouchEvery is how often the hold is renewed: often enough that an outage
+	// starts with nearly the whole hold left.
+	TouchEvery = 2 * time.Second
+	// ElectionPause is the pause after a lost or failed election.
+	ElectionPause = 300 * time.Millisecond
+	// TryTermShift is where the term begins in an attempt number, so that attempts rise across leaders.
+	TryTermShift = 32
+)
+
+// Shares of the state service's rate that each controller may use.
+const (
+	// LeaderShare is the leader's part of the writes; the rest is split between the others,
+	// who only write submissions and cancellations.
+	LeaderShare = 0.6
+)
+
+// Scheduling.
+const (
+	// VictimCutoff is the number of preemptible tasks up to which every set of
+	// victims is tried: 2^10 sets cost some tens of microseconds.
+	VictimCutoff = 10
+	// TickEvery is how often the scheduler looks at what only time changes.
+	TickEvery = 500 * time.Millisecond
+	// WeighOvercommit is the multiplier of the overcommit weigher. It is more than all
+	// others together: free room comes first.
+	WeighOvercommit = 1000.0
+	// WeighCost is the multiplier of the preemption cost weigher.
+	WeighCost = 100.0
+	// WeighImage prefers machines that have the image, which saves the fetch.
+	WeighImage = 8.0
+	// WeighPack prefers machines that are left with less free room, so that others empty and can be returned.
+	WeighPack = 4.0
+	// WeighSpeed prefers machines seen to be fast.
+	WeighSpeed = 1.0
+	// FreshReports is how many report intervals a machine may be silent and still get tasks.
+	FreshReports = 2.5
+	// SickErrors is how many failures in a row, with no success between, make a machine suspect.
+	SickErrors = 2
+	// JobFaultMachines is how many machines must fail a job's tasks before the job itself is held to be faulty.
+	JobFaultMachines = 3
+	// JobBackoffMin and JobBackoffMax bound the growing delay of a job that fails everywhere.
+	JobBackoffMin = 2 * time.Second
+	JobBackoffMax = 60 * time.Second
+	// PreemptSlack is the slack below which a deadline is held to be pressing: then waiting for
+	// room is worse than the loss of somebody's work.
+	PreemptSlack = 15 * time.Second
+	// WeighPrice prefers machines that cost less for each CPU, so that the dear ones empty first.
+	WeighPrice = 6.0
+	// LearnWeight is the least weight of a new run time in a class's learned ratio.
+	LearnWeight = 0.05
+	// StashMargin is added to the time a task needs to save when it is told to stop.
+	StashMargin = 2 * time.Second
+	// MaxOrders bounds the orders in one answer, so that it stays far below MaxBodyBytes.
+	MaxOrders = 300
+	// FlushEvery is how often one chunk of finished tasks is written at most. What is not written yet is
+	// kept by the workers, so this only bounds how long they list it.
+	FlushEvery = 3 * time.Second
+	// FlushInFlight is how many chunk writes may wait for an answer at once.
+	FlushInFlight = 4
+	// RestartWeight makes a task costlier to stop for each time it was stopped before.
+	RestartWeight = 1.0
+)
+
+// Fleet.
+const (
+	// PlanEvery is how often the fleet is planned.
+	PlanEvery = time.Second
+	// ListEvery is how often the cloud's list is read.
+	ListEvery = 10 * time.Second
+	// TypesEvery is how often machine types and prices are read.
+	TypesEvery = 120 * time.Second
+	// LeastCharge is the least time that a machine is charged for.
+	LeastCharge = 60 * time.Second
+	// IdleReturn is how long a machine stays idle before it goes back.
+	IdleReturn = 15 * time.Second
+	// PlanHorizon is the time in which the fleet should be able to work off the backlog, boots included.
+	PlanHorizon = 60 * time.Second
+	// BootPatience is how many nominal boot times a machine gets before it is given up.
+	BootPatience = 5.0
+	// BootPatienceMin is the least patience with a boot.
+	BootPatienceMin = 60 * time.Second
+	// CapacityBackoffMin and CapacityBackoffMax bound the pause after a refusal for one type, zone and kind.
+	CapacityBackoffMin = 5 * time.Second
+	CapacityBackoffMax = 40 * time.Second
+	// SilentShare is the share of a worker's lease after which a silent machine is deleted.
+	SilentShare = 0.75
+	// SilentCrowd is the share of machines silent at once above which the network is to blame, and nobody is deleted.
+	SilentCrowd = 0.25
+	// LossMemory is how long the loss of a spot machine weighs on its pool.
+	LossMemory = 120 * time.Second
+	// HireFraction is the part of a machine that must be wanted before one more is rented while others run.
+	HireFraction = 0.3
+	// AskAgain is the pause before a deletion that got no clear answer is repeated.
+	AskAgain = 2 * time.Second
+	// CancelShare is the share of cancel_s after which a machine that still has a cancelled task is deleted.
+	CancelShare = 0.5
+	// MissingLists is how many lists in a row must lack a silent machine that was listed before it is deleted.
+	MissingLists = 2
+	// CloudShare is the part of the cloud's rate that a leader uses; at a take-over two terms may call for a moment.
+	CloudShare = 0.8
+	// FleetMax bounds the number of machines we ever rent at once.
+	FleetMax = 400
+)
+
+// Memory and processor.
+const (
+	// HeapShare is the part of the memory limit given to the Go runtime as its soft limit; the rest is
+	// for stacks of threads, the binary and buffers of the kernel.
+	HeapShare = 0.55
+	// Procs is GOMAXPROCS. One thread runs at a time; the second is for the one that waits inside evio.
+	Procs = 2
+)
+
+// WaitOut is how long to wait, by our clock, until a lease of d on another clock is surely over.
+func WaitOut(d time.Duration) time.Duration {
+	return d + time.Duration(float64(d)*2*DriftShare) + LeaseMargin
+}
+
+// Entitled is how long, by our clock, a hold of life d is surely ours from the moment its touch was sent.
+func Entitled(d time.Duration) time.Duration {
+	return d - time.Duration(float64(d)*2*DriftShare) - HoldMargin
+}
+
+// Seconds turns a protocol duration into a time.Duration.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// StateShare is a controller's part of the state service's rates, for requests and for writes. The parts
+// of all controllers sum to no more than one.
+func StateShare(leader bool, nodes int) (requests, writes float64) {
+	if nodes <= 1 {
+		return 1, 1
+	}
+	if leader {
+		return 0.5, LeaderShare
+	}
+	others := float64(nodes - 1)
+	return 0.5 / others, (1 - LeaderShare) / others
+}
--- /dev/null
+++ b/internal/storage/records.go
@@ -0,0 +1,132 @@
+package storage
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"quillshunt/internal/protocol"
+)
+
+// Keys of the state service.
+const (
+	KeyLeader  = "leader"
+	KeyTerm    = "term"
+	KeyTypes   = "types"
+	PrefixOpen = "open/"
+	PrefixFin  = "fin/"
+	PrefixHire = "hire/"
+)
+
+// OpenKey is where a job that is not over is kept.
+func OpenKey(id string) string { return PrefixOpen + id }
+
+// FinalKey is where a job that is over is kept for good.
+func FinalKey(id string) string { return "final/" + id }
+
+// FinKey is where a chunk of a job's finished tasks is kept.
+func FinKey(id string, base int) string { return fmt.Sprintf("%s%s/%d", PrefixFin, id, base) }
+
+// ParseFinKey splits such a key.
+func ParseFinKey(key string) (id string, base int, ok bool) {
+	rest, ok := strings.CutPrefix(key, PrefixFin)
+	if !ok {
+		return "", 0, false
+	}
+	id, num, ok := strings.Cut(rest, "/")
+	if !ok {
+		return "", 0, false
+	}
+	base, err := strconv.Atoi(num)
+	return id, base, err == nil
+}
+
+// HireKey is where a rental request is kept.
+func HireKey(name string) string { return PrefixHire + name }
+
+// Leader names the leading controller.
+type Leader struct {
+	Node  string
+	Term  uint64
+	Nonce uint64 // tells one process of a node from the next
+}
+
+// Term is the highest term so far.
+type Term struct{ Term uint64 }
+
+// Open is a job that is not over.
+type Open struct {
+	Spec      protocol.Spec
+	Cancelled bool
+	AtMs      int64 // time of day of the submission
+}
+
+// Final is a job that is over.
+type Final struct{ Standing string }
+
+// Hire is a rental request: written before it is sent, with its machines once they are known.
+type Hire struct {
+	Rigkind  string
+	Yard     string
+	Lendable bool
+	Number   int
+	Answered bool
+	Rigs     []string
+}
+
+// Types caches the machine types, so that a node can check submissions after a restart.
+type Types struct{ Rigkinds []protocol.Rigkind }
+
+// Fin is a chunk of a job's finished tasks: bit i of Bits is task Base+i.
+type Fin struct {
+	Base int
+	Bits string
+}
+
+// ChunkTasks is how many tasks a chunk holds so that its record stays below the value limit.
+func ChunkTasks(valueKB float64) int {
+	const frame = 128 // bytes of field names and the base number, rounded up
+	chars := int(valueKB*1024) - frame
+	n := chars / 4 * 3 * 8 // base64 carries three bytes in four characters
+	return max(n/64*64, 64)
+}
+
+// EncodeFin writes the chunk that starts at base from a bitmap of all tasks.
+func EncodeFin(bits []uint64, base, size int) Fin {
+	lo := base / 64
+	hi := min(lo+size/64, len(bits))
+	b := make([]byte, 0, (hi-lo)*8)
+	for _, w := range bits[lo:hi] {
+		for k := range 8 {
+			b = append(b, byte(w>>(8*k)))
+		}
+	}
+	for len(b) > 0 && b[len(b)-1] == 0 {
+		b = b[:len(b)-1]
+	}
+	return Fin{Base: base, Bits: base64.RawStdEncoding.EncodeToString(b)}
+}
+
+// Decode calls set for each finished task of a chunk.
+func (f Fin) Decode(set func(task int)) error {
+	b, err := base64.RawStdEncoding.DecodeString(f.Bits)
+	if err != nil {
+		return fmt.Errorf("finished tasks: %w", err)
+	}
+	for i, x := range b {
+		for k := range 8 {
+			if x>>k&1 != 0 {
+				set(f.Base + i*8 + k)
+			}
+		}
+	}
+	return nil
+}
+
+// Fits tells whether a value keeps to the service's size limit, which is counted in JSON.
+func Fits(v any, valueKB float64) bool {
+	b, err := json.Marshal(v)
+	return err == nil && float64(len(b)) <= valueKB*1024
+}
--- /dev/null
+++ b/internal/transport/client.go
@@ -0,0 +1,142 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"syscall"
+	"time"
+
+	"quillshunt/internal/limits"
+)
+
+// ErrNotSent marks a call of which nothing reached the other side: the connection could not be made.
+var ErrNotSent = errors.New("not sent")
+
+// Client calls one HTTP server over a small set of kept connections.
+type Client struct {
+	addr    string
+	maxBody int
+	idle    chan *outbound
+}
+
+type outbound struct {
+	conn net.Conn
+	raw  syscall.RawConn
+	dec  *Decoder
+	buf  []byte
+}
+
+// NewClient returns a client that keeps up to keep idle connections.
+func NewClient(addr string, keep, maxBody int) *Client {
+	return &Client{addr: addr, maxBody: maxBody, idle: make(chan *outbound, keep)}
+}
+
+// Addr is the server's address.
+func (c *Client) Addr() string { return c.addr }
+
+// Do sends a request and waits for the answer until the context's deadline.
+// An error that wraps ErrNotSent means that the other side saw nothing; any other error
+// means that the request may have been carried out, or may still be.
+func (c *Client) Do(ctx context.Context, method, target string, body []byte) (*Message, error) {
+	req := AppendRequest(nil, method, target, c.addr, body)
+	o, err := c.take(ctx)
+	if err != nil {
+		return nil, err
+	}
+	m, err := o.exchange(ctx, req)
+	if err != nil {
+		_ = o.conn.Close()
+		return nil, fmt.Errorf("%s %s%s: %w", method, c.addr, target, err)
+	}
+	if m.Close || o.dec.Buffered() > 0 {
+		_ = o.conn.Close()
+		return m, nil
+	}
+	select {
+	case c.idle <- o:
+	default:
+		_ = o.conn.Close()
+	}
+	return m, nil
+}
+
+// take returns a kept connection that is still open, or a new one.
+func (c *Client) take(ctx context.Context) (*outbound, error) {
+	for {
+		select {
+		case o := <-c.idle:
+			if o.alive() {
+				return o, nil
+			}
+			_ = o.conn.Close()
+			continue
+		default:
+		}
+		break
+	}
+	d := net.Dialer{Timeout: limits.DialTimeout, KeepAlive: -1}
+	conn, err := d.DialContext(ctx, "tcp", c.addr)
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: %w: %w", c.addr, ErrNotSent, err)
+	}
+	o := &outbound{conn: conn, dec: NewResponseDecoder(c.maxBody), buf: make([]byte, 4096)}
+	if sc, ok := conn.(syscall.Conn); ok {
+		if o.raw, err = sc.SyscallConn(); err != nil {
+			_ = conn.Close()
+			return nil, fmt.Errorf("dial %s: %w: %w", c.addr, ErrNotSent, err)
+		}
+	}
+	return o, nil
+}
+
+// alive looks whether the other side has closed a kept connection meanwhile, so that a request is
+// not lost on it. An idle connection has nothing to read; bytes on it are as bad as its end.
+func (o *outbound) alive() bool {
+	if o.raw == nil {
+		return true
+	}
+	open := false
+	err := o.raw.Read(func(fd uintptr) bool {
+		_, rerr := syscall.Read(int(fd), make([]byte, 1))
+		open = rerr == syscall.EAGAIN || rerr == syscall.EINTR
+		return true
+	})
+	return err == nil && open
+}
+
+func (o *outbound) exchange(ctx context.Context, req []byte) (*Message, error) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(limits.CloudTimeout)
+	}
+	if err := o.conn.SetDeadline(deadline); err != nil { // also lifts what ended an earlier call
+		return nil, fmt.Errorf("set deadline: %w", err)
+	}
+	// A cancelled context ends the wait at once.
+	stop := context.AfterFunc(ctx, func() { _ = o.conn.SetDeadline(time.Now().Add(-time.Second)) })
+	defer stop()
+	if _, err := o.conn.Write(req); err != nil {
+		return nil, fmt.Errorf("write: %w", err)
+	}
+	for {
+		n, err := o.conn.Read(o.buf)
+		if n > 0 {
+			o.dec.Feed(o.buf[:n])
+			m, derr := o.dec.Next()
+			if derr != nil {
+				return nil, derr
+			}
+			if m != nil {
+				return m, nil
+			}
+		}
+		if err != nil {
+			if m, eerr := o.dec.EOF(); eerr == nil && m != nil {
+				return m, nil
+			}
+			return nil, fmt.Errorf("read: %w", err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/server.go
@@ -0,0 +1,207 @@
+package transport
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/tidwall/evio"
+
+	"quillshunt/internal/limits"
+)
+
+// Handler takes a request on the server's loop. It must not block; the answer may
+// come later from any goroutine.
+type Handler func(req *Message, rsp *Responder)
+
+// Responder answers one request, once.
+type Responder struct {
+	c  *inbound
+	ec evio.Conn
+	// sync is true while the handler runs on the loop: then no wake is needed.
+	sync bool
+	used bool // guarded by c.mu
+}
+
+// inbound is what we keep for a connection. The loop owns it but for out and
+// done, which the mutex guards because answers come from other goroutines.
+type inbound struct {
+	dec     *Decoder
+	busy    bool // a request is being worked on
+	last    time.Time
+	closing bool
+
+	mu   sync.Mutex
+	out  []byte
+	done bool
+	end  bool // close after out
+}
+
+// Respond answers the request.
+func (r *Responder) Respond(status int, body []byte, retryAfter int) {
+	c := r.c
+	c.mu.Lock()
+	if r.used {
+		c.mu.Unlock()
+		return
+	}
+	r.used = true
+	c.out = AppendResponse(nil, status, body, retryAfter, c.end)
+	c.done = true
+	sync := r.sync
+	c.mu.Unlock()
+	if !sync {
+		r.ec.Wake()
+	}
+}
+
+// Server is the evio server of one address.
+//
+// evio ends its loop when accept fails, so Run starts it again, and the number of connections is kept
+// below the socket limit, so that accept does not fail for want of sockets. It reads from a connection
+// only after the answer before is written, which bounds what a slow reader can hold to one answer.
+type Server struct {
+	Addr     string
+	MaxConns int
+	Handle   Handler
+	Log      *slog.Logger
+
+	conns map[evio.Conn]*inbound // owned by the loop
+}
+
+// Run serves until the context ends.
+func (s *Server) Run(ctx context.Context) error {
+	failures := 0
+	for {
+		started := time.Now()
+		err := s.serve(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if time.Since(started) < limits.SweepEvery {
+			failures++
+		} else {
+			failures = 0
+		}
+		if failures > 20 {
+			return fmt.Errorf("listen on %s: %w", s.Addr, err)
+		}
+		s.Log.Warn("server loop ended, starting again", "addr", s.Addr, "err", err)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(limits.RetryMin):
+		}
+	}
+}
+
+func (s *Server) serve(ctx context.Context) error {
+	s.conns = make(map[evio.Conn]*inbound)
+	var ev evio.Events
+	ev.NumLoops = 1
+	ev.Opened = func(ec evio.Conn) ([]byte, evio.Options, evio.Action) {
+		if len(s.conns) >= s.MaxConns {
+			return nil, evio.Options{}, evio.Close
+		}
+		c := &inbound{dec: NewRequestDecoder(limits.MaxBodyBytes), last: time.Now()}
+		ec.SetContext(c)
+		s.conns[ec] = c
+		return nil, evio.Options{ReuseInputBuffer: true}, evio.None
+	}
+	ev.Closed = func(ec evio.Conn, _ error) evio.Action {
+		delete(s.conns, ec)
+		return evio.None
+	}
+	ev.Data = func(ec evio.Conn, in []byte) ([]byte, evio.Action) {
+		c, ok := ec.Context().(*inbound)
+		if !ok || c.closing {
+			return nil, evio.Close
+		}
+		return s.data(ec, c, in)
+	}
+	ev.Tick = func() (time.Duration, evio.Action) {
+		if ctx.Err() != nil {
+			return 0, evio.Shutdown
+		}
+		s.sweep()
+		return limits.SweepEvery, evio.None
+	}
+	return evio.Serve(ev, "tcp://"+s.Addr)
+}
+
+// sweep closes connections that are idle or whose request does not end.
+func (s *Server) sweep() {
+	now := time.Now()
+	for ec, c := range s.conns {
+		limit := limits.IdleConn
+		if !c.busy && c.dec.Started() {
+			limit = limits.SlowRequest
+		}
+		if now.Sub(c.last) > limit {
+			c.closing = true
+			ec.Wake()
+		}
+	}
+}
+
+// data handles new bytes (in is nil on a wake): first an answer that is ready, then the next request.
+func (s *Server) data(ec evio.Conn, c *inbound, in []byte) ([]byte, evio.Action) {
+	if len(in) > 0 {
+		if !c.dec.Started() {
+			c.last = time.Now()
+		}
+		c.dec.Feed(in)
+		if c.busy && c.dec.Buffered() > limits.MaxHeadBytes+limits.MaxBodyBytes {
+			return nil, evio.Close
+		}
+	}
+	for {
+		if c.busy {
+			c.mu.Lock()
+			if !c.done {
+				c.mu.Unlock()
+				return nil, evio.None
+			}
+			out := c.out
+			end := c.end
+			c.out, c.done = nil, false
+			c.mu.Unlock()
+			c.busy = false
+			c.last = time.Now()
+			if end || c.dec.Buffered() > 0 {
+				// Nobody pipelines. evio would overwrite an answer that is not out
+				// yet with the next one, so a pipelining connection gets one answer.
+				c.closing = true
+				return out, evio.Close
+			}
+			return out, evio.None
+		}
+		req, err := c.dec.Next()
+		if err != nil {
+			c.closing = true
+			status := 400
+			if err == ErrTooLarge {
+				status = 413
+			}
+			return AppendResponse(nil, status, nil, 0, true), evio.Close
+		}
+		if req == nil {
+			return nil, evio.None
+		}
+		c.busy = true
+		r := &Responder{c: c, ec: ec, sync: true}
+		c.mu.Lock()
+		c.end = req.Close
+		c.mu.Unlock()
+		s.Handle(req, r)
+		c.mu.Lock()
+		r.sync = false
+		done := c.done
+		c.mu.Unlock()
+		if !done {
+			return nil, evio.None
+		}
+	}
+}
