--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -158,6 +158,9 @@
 	for i := range e.Rigs {
 		r := &e.Rigs[i]
 		in[r.NameId] = true
+		if s.gone[r.NameId] {
+			continue
+		}
 		m := s.machines[r.NameId]
 		if m == nil {
 			if r.AgeS < (3 * s.cfg.ListLag).Seconds() {
@@ -216,6 +219,7 @@
 			continue
 		}
 		// The machine and everything on it are gone.
+		s.gone[name] = true
 		for _, b := range m.sortedBinds() {
 			s.unbind(b)
 		}
--- a/internal/coordination/scheduler/model.go
+++ b/internal/coordination/scheduler/model.go
@@ -87,6 +87,7 @@
 	cancelAt  time.Duration
 	at        time.Duration // of its submission
 	dues      []time.Duration
+	guar      bool // fits into its team's guarantee together with the team's earlier unfinished jobs
 	over      bool // its final record is written
 	finishing bool
 	finishAt  time.Duration
@@ -145,8 +146,9 @@
 }
 
 type team struct {
-	cfg  config.Team
-	used room
+	cfg     config.Team
+	used    room
+	claimed room // by its unfinished jobs; see guarantees
 }
 
 // fits tells whether the team may use that much more.
@@ -155,10 +157,10 @@
 	return t.used.cpu+r.cpu <= t.cfg.CPUsMax+eps && t.used.gpu+r.gpu <= t.cfg.GPUsMax+eps
 }
 
-// guaranteed tells whether the team with that much more is within its guarantee.
-func (t *team) guaranteed(r room) bool {
+// borrows tells whether the team uses more than its guarantee.
+func (t *team) borrows() bool {
 	const eps = 1e-6
-	return t.used.cpu+r.cpu <= t.cfg.CPUs+eps && t.used.gpu+r.gpu <= t.cfg.GPUs+eps
+	return t.used.cpu > t.cfg.CPUs+eps || t.used.gpu > t.cfg.GPUs+eps
 }
 
 type machine struct {
@@ -277,6 +279,7 @@
 
 	jobs     map[string]*job
 	closed   map[string]bool // jobs over in this term; a late record of one must not open it again
+	gone     map[string]bool // machines whose deletion was confirmed; late lists and reports may still name them
 	queue    []*job
 	teams    map[string]*team
 	classes  map[string]*class
@@ -309,6 +312,7 @@
 		chunkLen: storage.ChunkTasks(cfg.State.ValueKB),
 		jobs:     map[string]*job{},
 		closed:   map[string]bool{},
+		gone:     map[string]bool{},
 		teams:    map[string]*team{},
 		classes:  map[string]*class{},
 		machines: map[string]*machine{},
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -32,10 +32,33 @@
 	}
 }
 
+// guarantees works out which jobs their teams' guarantees cover: a job is covered if it fits in together with the team's
+// earlier unfinished jobs.
+func (s *Scheduler) guarantees() {
+	for _, t := range s.teams {
+		t.claimed = room{}
+	}
+	sort.SliceStable(s.queue, func(a, b int) bool {
+		if s.queue[a].at != s.queue[b].at {
+			return s.queue[a].at < s.queue[b].at
+		}
+		return s.queue[a].id < s.queue[b].id
+	})
+	const eps = 1e-6
+	for _, j := range s.queue {
+		n := float64(j.spec.Pieces - j.doneN)
+		if j.cancelled {
+			n = 0
+		}
+		c := j.team.claimed.plus(room{cpu: n * j.need.cpu, gpu: n * j.need.gpu})
+		j.guar = c.cpu <= j.team.cfg.CPUs+eps && c.gpu <= j.team.cfg.GPUs+eps
+		j.team.claimed = c
+	}
+}
+
 // claim is a job's place in the queue.
 type claim struct {
 	j     *job
-	guar  bool
 	late  bool
 	slack time.Duration
 }
@@ -43,12 +66,13 @@
 // claims orders the jobs that want room: by priority, guarantee before borrowed, then by slack to the next time
 // that can still be met, then by age. Jobs whose times are all past come after those that can be helped.
 func (s *Scheduler) claims() []*job {
+	s.guarantees()
 	cs := make([]claim, 0, len(s.queue))
 	for _, j := range s.queue {
 		if j.cancelled || j.over || j.free() == 0 || s.now < j.resume {
 			continue
 		}
-		c := claim{j: j, guar: j.team.guaranteed(j.need)}
+		c := claim{j: j}
 		c.slack, c.late = s.slack(j)
 		cs = append(cs, c)
 	}
@@ -57,8 +81,8 @@
 		switch {
 		case x.j.urgency != y.j.urgency:
 			return x.j.urgency > y.j.urgency
-		case x.guar != y.guar:
-			return x.guar
+		case x.j.guar != y.j.guar:
+			return x.j.guar
 		case x.late != y.late:
 			return !x.late
 		case x.slack != y.slack:
@@ -260,14 +284,10 @@
 	return best
 }
 
-// pressing tells whether a job should get room at somebody else's cost: it is within its guarantee while others borrow, or of higher
-// priority, and waiting would break its times.
+// pressing tells whether waiting for room would break one of the job's times. Only then is room taken at somebody else's cost.
 func (s *Scheduler) pressing(j *job) bool {
 	slack, late := s.slack(j)
-	if late {
-		return false
-	}
-	return slack < limits.PreemptSlack || (j.team.guaranteed(j.need) && s.now-j.at > limits.PreemptSlack)
+	return !late && slack < limits.PreemptSlack
 }
 
 // mayStop is the protocol's rule of who may be stopped for whom.
@@ -278,7 +298,7 @@
 	if b.j.urgency < j.urgency {
 		return true
 	}
-	return b.j.team != j.team && j.team.guaranteed(j.need) && !b.j.team.guaranteed(room{})
+	return b.j.team != j.team && j.guar && !b.j.guar && b.j.team.borrows()
 }
 
 // loss is what stopping a task would waste: its work since the last checkpoint, or its whole run time where it
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -12,7 +12,7 @@
 // reportIn takes a worker's report, and answers it if we may.
 func (s *Scheduler) reportIn(e ReportIn) {
 	r := e.Report
-	if !e.Entitled || !r.Valid() || r.Baton > s.cfg.Term {
+	if !e.Entitled || !r.Valid() || r.Baton > s.cfg.Term || s.gone[r.Rig] {
 		s.emit(ReplyOut{Ref: e.Ref})
 		return
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -169,7 +169,7 @@
 	JobBackoffMax = 60 * time.Second
 	// PreemptSlack is the slack below which a deadline is held to be pressing: then waiting for
 	// room is worse than the loss of somebody's work.
-	PreemptSlack = 15 * time.Second
+	PreemptSlack = 6 * time.Second
 	// WeighPrice prefers machines that cost less for each CPU, so that the dear ones empty first.
 	WeighPrice = 6.0
 	// LearnWeight is the least weight of a new run time in a class's learned ratio.
@@ -184,7 +184,7 @@
 	// FlushInFlight is how many chunk writes may wait for an answer at once.
 	FlushInFlight = 4
 	// RestartWeight makes a task costlier to stop for each time it was stopped before.
-	RestartWeight = 1.0
+	RestartWeight = 4.0
 )
 
 // Fleet.
