--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -414,13 +414,13 @@
 	return out
 }
 
-// horizon is the time in which a job's backlog should be worked off.
+// horizon is the time in which a job's backlog should be worked off: its run time and a share of what it can wait.
 func (s *Scheduler) horizon(j *job) float64 {
-	h := limits.PlanHorizon.Seconds()
+	wait := limits.PlanHorizon.Seconds()
 	if slack, late := s.slack(j); !late && slack != never {
-		h = min(h, max(slack.Seconds(), 0)+j.estimate())
+		wait = min(max(slack.Seconds(), 0)*limits.SlackShare, limits.PlanHorizon.Seconds())
 	}
-	return max(h, j.estimate())
+	return wait + j.estimate()
 }
 
 // planJob promises a job's waiting tasks to offers, and adds machines to rent for what is left.
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -199,8 +199,10 @@
 	LeastCharge = 60 * time.Second
 	// IdleReturn is how long a machine stays idle before it goes back.
 	IdleReturn = 15 * time.Second
-	// PlanHorizon is the time in which the fleet should be able to work off the backlog, boots included.
-	PlanHorizon = 60 * time.Second
+	// PlanHorizon is the longest that a job is planned to wait for room, however much time it has.
+	PlanHorizon = 15 * time.Second
+	// SlackShare is the share of a job's slack that it is planned to wait; the rest is for what goes wrong.
+	SlackShare = 0.25
 	// BootPatience is how many nominal boot times a machine gets before it is given up.
 	BootPatience = 5.0
 	// BootPatienceMin is the least patience with a boot.
