Take-over: durable marks of machines in use, direct probes, quick evidence

Now rental records name the machines that may hold tasks, a new leader asks those directly (status, then an empty order that shows the term), and deletes the ones that stay silent. A partly filled rental is followed by the next pool at once instead of a second later.

--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -317,6 +317,8 @@
 			reply(200, protocol.Encode(protocol.ReportReply{Baton: t.m.Term, Orders: eff.Orders}))
 		case scheduler.WriteOut:
 			t.pending = append(t.pending, eff)
+		case scheduler.ProbeOut:
+			go t.probe(ctx, eff)
 		case scheduler.HireOut:
 			go t.hire(ctx, eff.Req)
 		case scheduler.DeleteOut:
--- /dev/null
+++ b/internal/coordination/leader/workers.go
@@ -0,0 +1,70 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"quillshunt/internal/coordination/scheduler"
+	"quillshunt/internal/limits"
+	"quillshunt/internal/protocol"
+	"quillshunt/internal/transport"
+)
+
+// errWorker marks an answer of a worker that is not what was asked for.
+var errWorker = errors.New("worker")
+
+// direct sends commands to a worker and returns its report after them. The status is 200, or 409 if nothing was executed.
+func (t *term) direct(ctx context.Context, c *transport.Client, d protocol.Direct) (int, *protocol.Report, error) {
+	m, err := c.Do(ctx, "POST", "/do", protocol.Encode(d))
+	if err != nil {
+		return 0, nil, err
+	}
+	if m.Status != 200 && m.Status != 409 {
+		return m.Status, nil, fmt.Errorf("%w: do: status %d", errWorker, m.Status)
+	}
+	var r protocol.Report
+	if err := protocol.Decode(m.Body, &r); err != nil {
+		return m.Status, nil, fmt.Errorf("%w: do: %w", errWorker, err)
+	}
+	return m.Status, &r, nil
+}
+
+// probe learns a machine's session and shows it our term; what it answers then is not changed by earlier leaders any more.
+func (t *term) probe(ctx context.Context, p scheduler.ProbeOut) {
+	ctx, cancel := context.WithTimeout(ctx, limits.ProbeTimeout)
+	defer cancel()
+	c := transport.NewClient(p.Address, 1, limits.MaxBodyBytes)
+	defer c.Close()
+	r, err := t.probeReport(ctx, c)
+	if err != nil {
+		t.log.Debug("probe", "machine", p.Rig, "err", err)
+		return
+	}
+	t.post(ctx, scheduler.ProbeDone{Rig: p.Rig, Report: r})
+}
+
+func (t *term) probeReport(ctx context.Context, c *transport.Client) (*protocol.Report, error) {
+	m, err := c.Do(ctx, "GET", "/status", nil)
+	if err != nil {
+		return nil, err
+	}
+	var r protocol.Report
+	if m.Status != 200 {
+		return nil, fmt.Errorf("%w: status: status %d", errWorker, m.Status)
+	}
+	if err := protocol.Decode(m.Body, &r); err != nil {
+		return nil, fmt.Errorf("%w: status: %w", errWorker, err)
+	}
+	if !t.m.Entitled() {
+		return nil, fmt.Errorf("%w: no longer entitled", errWorker)
+	}
+	status, fresh, err := t.direct(ctx, c, protocol.Direct{Baton: t.m.Term, Shift: r.Shift})
+	if err != nil {
+		return nil, err
+	}
+	if status != 200 {
+		return nil, fmt.Errorf("%w: do: status %d", errWorker, status)
+	}
+	return fresh, nil
+}
--- a/internal/coordination/scheduler/events.go
+++ b/internal/coordination/scheduler/events.go
@@ -48,6 +48,12 @@
 	Entitled bool
 }
 
+// ProbeDone is what a machine answered to a ProbeOut: its report after it had seen our term, or nothing.
+type ProbeDone struct {
+	Rig    string
+	Report *protocol.Report
+}
+
 // WriteDone is the outcome of a WriteOut.
 type WriteDone struct {
 	ID  uint64
@@ -96,6 +102,7 @@
 func (HireLoaded) event() {}
 func (Loaded) event()     {}
 func (ReportIn) event()   {}
+func (ProbeDone) event()  {}
 func (WriteDone) event()  {}
 func (HireDone) event()   {}
 func (DeleteDone) event() {}
@@ -121,6 +128,9 @@
 	Ops    []protocol.Op
 }
 
+// ProbeOut asks a machine for its tasks and shows it our term.
+type ProbeOut struct{ Rig, Address string }
+
 // HireOut sends a rental request, again and again until there is an answer.
 type HireOut struct{ Req protocol.HireRequest }
 
@@ -149,6 +159,7 @@
 
 func (ReplyOut) effect()  {}
 func (WriteOut) effect()  {}
+func (ProbeOut) effect()  {}
 func (HireOut) effect()   {}
 func (DeleteOut) effect() {}
 func (ListOut) effect()   {}
--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -18,21 +19,21 @@
 func (s *Scheduler) hireLoaded(e HireLoaded) {
 	h := &hire{name: e.Name, rec: e.Rec, stamp: e.Stamp, at: s.now, state: hireAsking}
 	s.hires[e.Name] = h
-	if !e.Rec.Answered {
+	if e.Rec.Answered {
+		h.state = hireAnswered
+	} else {
 		s.emit(HireOut{Req: h.request()}) // repeated: the same answer, or the machines for the first time
-		return
 	}
-	h.state = hireAnswered
 	for _, name := range e.Rec.Rigs {
-		m := s.machine(name, e.Rec.Rigkind, e.Rec.Yard, e.Rec.Lendable)
-		if m.hire == "" {
-			m.hire = h.name
-			h.left++
-		}
+		s.machine(name, e.Rec.Rigkind, e.Rec.Yard, e.Rec.Lendable).hire = h.name
+	}
+	for _, u := range e.Rec.Up {
+		m := s.machine(u.Rig, e.Rec.Rigkind, e.Rec.Yard, e.Rec.Lendable)
+		m.hire, m.mark, m.addr = h.name, marked, u.Address
 	}
 }
 
-// hire starts a rental: its name is durable before the request leaves, so that a successor can ask for the answer.
+// hireMachines starts a rental: its name is durable before the request leaves, so that a successor can ask for the answer.
 func (s *Scheduler) hireMachines(p pool, n int) {
 	s.hireSeq++
 	h := &hire{name: fmt.Sprintf("h-%d-%d", s.cfg.Term, s.hireSeq), state: hireWriting, at: s.now,
@@ -42,12 +43,57 @@
 	s.writeHire(h)
 }
 
+// writeHire writes a rental's record; one write of a record is under way at a time.
 func (s *Scheduler) writeHire(h *hire) {
+	if h.writing {
+		h.dirty = true
+		return
+	}
+	h.writing, h.dirty = true, false
 	key := storage.HireKey(h.name)
-	s.write(pendingWrite{kind: writeHire, hire: h.name}, []protocol.Guard{{Path: key, Stamp: h.stamp}},
+	var marks []string
+	for _, u := range h.rec.Up {
+		marks = append(marks, u.Rig)
+	}
+	s.write(pendingWrite{kind: writeHire, hire: h.name, marks: marks}, []protocol.Guard{{Path: key, Stamp: h.stamp}},
 		[]protocol.Op{{Write: key, Data: protocol.Encode(h.rec)}})
 }
 
+func (s *Scheduler) hireWritten(p pendingWrite, ok bool, rev uint64) {
+	h := s.hires[p.hire]
+	if h == nil {
+		return
+	}
+	h.writing = false
+	if !ok {
+		// Only we write rentals, so this cannot be; without a record the machines get no tasks.
+		s.note(true, "rental record refused", "request", h.name)
+		return
+	}
+	h.stamp = rev
+	for _, name := range p.marks {
+		if m := s.machines[name]; m != nil && m.mark == marking {
+			m.mark = marked
+		}
+	}
+	if h.state == hireWriting {
+		h.state = hireAsking
+		s.emit(HireOut{Req: h.request()})
+	}
+	s.keepHire(h)
+}
+
+// keepHire brings a rental's record in line with what is known: it goes once all its machines are gone.
+func (s *Scheduler) keepHire(h *hire) {
+	switch {
+	case h.writing || h.stamp == 0:
+	case h.state == hireAnswered && len(h.rec.Rigs) == 0:
+		s.removeHire(h)
+	case h.dirty && h.state != hireRemoving:
+		s.writeHire(h)
+	}
+}
+
 func (s *Scheduler) removeHire(h *hire) {
 	h.state = hireRemoving
 	key := storage.HireKey(h.name)
@@ -55,16 +101,31 @@
 		[]protocol.Op{{Remove: key}})
 }
 
-// cover writes down a machine that no rental of ours accounts for, so that a successor knows of it before it gets a task.
-func (s *Scheduler) cover(m *machine) {
-	name := "found-" + m.name
-	if s.hires[name] != nil {
+// markUp writes down that a machine may get tasks from now on.
+func (s *Scheduler) markUp(m *machine) {
+	if m.hire == "" {
+		s.cover(m)
+	}
+	h := s.hires[m.hire]
+	if h == nil || m.mark != unmarked {
 		return
 	}
+	m.mark = marking
+	h.rec.Up = append(h.rec.Up, storage.Up{Rig: m.name, Address: m.addr})
+	h.dirty = true
+	s.keepHire(h)
+}
+
+// cover makes a record for a machine that no rental of ours accounts for.
+func (s *Scheduler) cover(m *machine) {
+	h := &hire{name: "found-" + m.name, state: hireAnswered, at: s.now,
+		rec: storage.Hire{Rigkind: m.kind, Yard: m.yard, Lendable: m.spot, Answered: true, Rigs: []string{m.name}}}
+	if s.hires[h.name] != nil {
+		return // its last record is just being removed; the next report tries again
+	}
 	s.note(true, "unexpected machine", "machine", m.name, "type", m.kind, "zone", m.yard, "spot", m.spot)
-	h := &hire{name: name, state: hireAnswered, at: s.now,
-		rec: storage.Hire{Rigkind: m.kind, Yard: m.yard, Lendable: m.spot, Answered: true, Rigs: []string{m.name}}, left: 1}
-	s.hires[name] = h
+	m.hire = h.name
+	s.hires[h.name] = h
 	s.writeHire(h)
 }
 
@@ -77,6 +138,7 @@
 	switch {
 	case e.NoCapacity:
 		s.refuse(p)
+		s.planAt = 0
 		s.note(false, "no capacity", "request", h.name, "type", p.kind, "zone", p.yard, "spot", p.spot)
 		s.removeHire(h)
 		return
@@ -86,13 +148,17 @@
 	}
 	if len(e.Rigs) < h.rec.Number {
 		s.refuse(p)
+		s.planAt = 0 // the rest is asked for elsewhere at once
 	} else if st := s.pools[p]; st != nil {
 		st.backoff = 0
 	}
 	s.note(false, "rented", "request", h.name, "machines", len(e.Rigs))
-	h.state = hireAnswered
-	h.rec.Answered, h.rec.Rigs = true, e.Rigs
+	h.state, h.dirty = hireAnswered, true
+	h.rec.Answered = true
 	for _, name := range e.Rigs {
+		if s.gone[name] || slices.Contains(h.rec.Rigs, name) {
+			continue
+		}
 		known := s.machines[name]
 		m := s.machine(name, p.kind, p.yard, p.spot)
 		if known == nil {
@@ -100,15 +166,11 @@
 		}
 		if m.hire == "" {
 			m.hire = h.name
-			h.left++
+			h.rec.Rigs = append(h.rec.Rigs, name)
 		}
 	}
 	s.dirty = true
-	if h.left == 0 {
-		s.removeHire(h)
-		return
-	}
-	s.writeHire(h)
+	s.keepHire(h)
 }
 
 // refuse makes a pool wait before it is asked again.
@@ -227,9 +289,7 @@
 	}
 	s.dirty = true
 	for _, h := range s.sortedHires() {
-		if h.state == hireAnswered && h.left <= 0 && h.stamp != 0 {
-			s.removeHire(h)
-		}
+		s.keepHire(h)
 	}
 }
 
@@ -252,6 +312,7 @@
 		s.listing = true
 		s.emit(ListOut{})
 	}
+	s.probe()
 	s.dropBroken()
 	if s.now >= s.planAt && s.settled && len(s.types) > 0 {
 		s.planAt = s.now + limits.PlanEvery
@@ -271,23 +332,33 @@
 
 // dropBroken returns machines that do not serve: never up, silent, sick.
 func (s *Scheduler) dropBroken() {
-	silent, up := 0, 0
+	silent, up, unheard := 0, 0, 0
 	limit := time.Duration(float64(s.lease) * limits.SilentShare)
 	quiet := func(m *machine) bool { return m.seen && s.now > max(m.heard, s.took)+limit }
 	for _, m := range s.fleet {
-		if m.seen && !m.deleting {
+		switch {
+		case m.deleting:
+		case m.seen:
 			up++
 			if quiet(m) {
 				silent++
 			}
+		case m.mark != unmarked:
+			unheard++
 		}
 	}
+	lost := unheard > 3 && float64(unheard) > limits.SilentCrowd*float64(unheard+up)
 	crowd := silent > 3 && float64(silent) > limits.SilentCrowd*float64(up)
 	for _, m := range s.fleet {
 		if m.deleting {
 			continue
 		}
 		switch {
+		case !m.seen && m.mark != unmarked:
+			// It had reported to an earlier leader, and neither reports to us nor answers.
+			if s.now > s.took+max(limits.RebuildPatience, time.Duration(limits.RebuildReports*float64(s.report))) && !lost {
+				s.remove(m, "not heard of since the take-over")
+			}
 		case !m.seen:
 			patience := limits.BootPatienceMin
 			if m.typ != nil {
@@ -313,6 +384,19 @@
 	}
 }
 
+// probe asks machines that may hold tasks of earlier terms, rather than wait for their reports.
+func (s *Scheduler) probe() {
+	if s.settled {
+		return
+	}
+	for _, m := range s.fleet {
+		if !m.seen && m.mark != unmarked && m.addr != "" && !m.deleting && s.now >= m.probeAt {
+			m.probeAt = s.now + limits.ProbeEvery
+			s.emit(ProbeOut{Rig: m.name, Address: m.addr})
+		}
+	}
+}
+
 // durable tells whether all results that a machine lists are written down.
 func (s *Scheduler) durable(m *machine) bool {
 	for _, x := range m.exits {
--- a/internal/coordination/scheduler/model.go
+++ b/internal/coordination/scheduler/model.go
@@ -10,6 +10,7 @@
 import (
 	"math"
 	"math/bits"
+	"slices"
 	"sort"
 	"time"
 
@@ -183,6 +184,8 @@
 	images map[string]time.Duration
 
 	hire      string
+	mark      mark
+	probeAt   time.Duration // when to ask the machine directly, after a take-over
 	created   time.Duration
 	upAt      time.Duration
 	listed    bool
@@ -228,6 +231,15 @@
 	return m.typ.Price
 }
 
+// mark tells whether the state service knows that a machine may hold tasks.
+type mark uint8
+
+const (
+	unmarked mark = iota
+	marking       // in the record in memory
+	marked        // durable
+)
+
 type hireState uint8
 
 const (
@@ -238,12 +250,13 @@
 )
 
 type hire struct {
-	name  string
-	rec   storage.Hire
-	stamp uint64
-	state hireState
-	at    time.Duration
-	left  int // machines that are not gone
+	name    string
+	rec     storage.Hire
+	stamp   uint64
+	state   hireState
+	at      time.Duration
+	dirty   bool // the record in memory is newer than the written one
+	writing bool
 }
 
 // pool is one type in one zone of one kind.
@@ -364,7 +377,9 @@
 		}
 	}
 	if h := s.hires[m.hire]; h != nil {
-		h.left--
+		h.rec.Rigs = slices.DeleteFunc(h.rec.Rigs, func(n string) bool { return n == m.name })
+		h.rec.Up = slices.DeleteFunc(h.rec.Up, func(u storage.Up) bool { return u.Rig == m.name })
+		h.dirty = true
 	}
 }
 
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -41,9 +41,7 @@
 	}
 	m.seen, m.shift, m.tally, m.addr = true, r.Shift, r.Tally, r.Address
 	m.heard, m.leaseBase = s.now, s.now
-	if m.hire == "" {
-		s.cover(m)
-	}
+	s.markUp(m)
 	if r.WarningS != nil && !m.notice {
 		m.notice = true
 		m.noticeEnd = s.now + limits.Seconds(*r.WarningS)
@@ -59,6 +57,22 @@
 	s.emit(ReplyOut{Ref: e.Ref, OK: true, Orders: orders})
 }
 
+// probeDone takes the task list of a machine that has not reported to us yet. The list was made after the machine had seen our term, so no order
+// of an earlier leader can add to it, and none of ours has been sent. It renews no lease.
+func (s *Scheduler) probeDone(e ProbeDone) {
+	m := s.machines[e.Rig]
+	r := e.Report
+	if m == nil || r == nil || m.seen || r.Rig != e.Rig || !r.Valid() || r.Baton != s.cfg.Term {
+		return
+	}
+	m.seen, m.shift, m.tally = true, r.Shift, r.Tally
+	m.upAt, m.idleSince = s.now, s.now
+	s.takeTasks(m, r)
+	s.dirty = true
+	s.settle()
+	s.place()
+}
+
 // takeTasks compares what a machine has with what we think it has. It returns orders about tasks that should not be there.
 func (s *Scheduler) takeTasks(m *machine, r *protocol.Report) []protocol.Order {
 	var orders []protocol.Order
@@ -306,6 +320,9 @@
 			s.unbind(b)
 			continue
 		}
+		if m.mark != marked {
+			continue // a successor would not know that tasks can be here
+		}
 		if !size.holds(held.plus(b.j.need)) {
 			continue // its room is not confirmed yet
 		}
--- a/internal/coordination/scheduler/step.go
+++ b/internal/coordination/scheduler/step.go
@@ -16,16 +16,16 @@
 	writeFinal
 	writeHire
 	writeHireRemove
-	writeTypes
 )
 
 // pendingWrite is what a WriteOut was for.
 type pendingWrite struct {
-	kind writeKind
-	j    *job
-	n    int    // chunk
-	ver  uint64 // chunk version
-	hire string
+	kind  writeKind
+	j     *job
+	n     int    // chunk
+	ver   uint64 // chunk version
+	hire  string
+	marks []string // machines whose mark this write makes durable
 }
 
 // Step takes one event. The effects are to be carried out in order.
@@ -51,6 +51,8 @@
 		s.tick(true)
 	case ReportIn:
 		s.reportIn(e)
+	case ProbeDone:
+		s.probeDone(e)
 	case WriteDone:
 		s.writeDone(e)
 	case HireDone:
@@ -294,26 +296,13 @@
 		}
 		// Otherwise it was cancelled meanwhile: the watch brings the new record, and finish runs again.
 	case writeHire:
-		h := s.hires[p.hire]
-		if h == nil {
-			return
-		}
-		if !e.OK {
-			delete(s.hires, p.hire)
-			return
-		}
-		h.stamp = e.Rev
-		if h.state == hireWriting {
-			h.state = hireAsking
-			s.emit(HireOut{Req: h.request()})
-		}
+		s.hireWritten(p, e.OK, e.Rev)
 	case writeHireRemove:
 		if e.OK {
 			delete(s.hires, p.hire)
 		} else if h := s.hires[p.hire]; h != nil {
 			h.state = hireAnswered
 		}
-	case writeTypes:
 	}
 }
 
@@ -389,13 +378,8 @@
 // may hold some has reported to us or is gone, or every lease from before is over.
 func (s *Scheduler) settle() {
 	if s.now < s.took+limits.WaitOut(s.lease) {
-		for _, h := range s.hires {
-			if h.state == hireWriting || h.state == hireAsking {
-				return
-			}
-		}
 		for _, m := range s.fleet {
-			if !m.seen {
+			if !m.seen && m.mark != unmarked {
 				return
 			}
 		}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -218,6 +218,14 @@
 	LossMemory = 120 * time.Second
 	// HireFraction is the part of a machine that must be wanted before one more is rented while others run.
 	HireFraction = 0.3
+	// RebuildPatience and RebuildReports (in report intervals) are how long after a take-over a machine that may hold tasks may stay unheard of before
+	// it is deleted, which is quicker evidence than the end of its lease. Workers find a new leader in a few seconds.
+	RebuildPatience = 6 * time.Second
+	RebuildReports  = 2.5
+	// ProbeEvery is how often such a machine is asked directly.
+	ProbeEvery = 2 * time.Second
+	// ProbeTimeout bounds the two calls of a probe.
+	ProbeTimeout = 1500 * time.Millisecond
 	// AskAgain is the pause before a deletion that got no clear answer is repeated.
 	AskAgain = 2 * time.Second
 	// CancelShare is the share of cancel_s after which a machine that still has a cancelled task is deleted.
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -73,7 +73,15 @@
 	Lendable bool
 	Number   int
 	Answered bool
-	Rigs     []string
+	Rigs     []string // machines that are not gone
+	Up       []Up     // those that may have been given tasks
+}
+
+// Up is a machine that reported. It is written before the machine gets its first task, so a new leader knows
+// where tasks of earlier terms can be, and where to ask.
+type Up struct {
+	Rig     string
+	Address string
 }
 
 // Types caches the machine types, so that a node can check submissions after a restart.
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -140,3 +140,15 @@
 		}
 	}
 }
+
+// Close drops the kept connections.
+func (c *Client) Close() {
+	for {
+		select {
+		case o := <-c.idle:
+			_ = o.conn.Close()
+		default:
+			return
+		}
+	}
+}
