--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -594,7 +594,7 @@
 func (s *Scheduler) cheapestPool(j *job) (pool, *protocol.Rigkind) {
 	var best pool
 	var typ *protocol.Rigkind
-	low := math.Inf(1)
+	low, floor := math.Inf(1), math.Inf(1)
 	for _, k := range s.kinds {
 		t := s.types[k]
 		size := room{t.Vcpus, t.Accelerators, t.RamGb}
@@ -608,22 +608,26 @@
 				if !s.allows(j, k, y, spot) {
 					continue
 				}
-				st := s.pools[p]
-				if st != nil && s.now < st.until {
-					continue
-				}
 				price := t.Price
 				if spot {
 					price = t.MarketPrice
 				}
 				// Spread over zones where all else is equal.
 				cost := price/float64(per)*(1+0.001*float64(s.inZone(y))) + 1e-9
+				floor = min(floor, cost)
+				st := s.pools[p]
+				if st != nil && s.now < st.until {
+					continue
+				}
 				if cost < low {
 					low, best, typ = cost, p, t
 				}
 			}
 		}
 	}
+	if slack, late := s.slack(j); low > limits.DearRatio*floor && (late || slack > limits.DearSlack) {
+		return best, nil // it can wait for cheaper ones
+	}
 	return best, typ
 }
 
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -214,6 +214,9 @@
 	SilentShare = 0.75
 	// SilentCrowd is the share of machines silent at once above which the network is to blame, and nobody is deleted.
 	SilentCrowd = 0.25
+	// DearRatio and DearSlack: a pool that costs this many times the cheapest is used only for jobs with less slack than this.
+	DearRatio = 2.5
+	DearSlack = 60 * time.Second
 	// LossMemory is how long the loss of a spot machine weighs on its pool.
 	LossMemory = 120 * time.Second
 	// HireFraction is the part of a machine that must be wanted before one more is rented while others run.
