Direct commands for starts and stops

Starts and stops go out at once instead of with the next report. An unanswered start stays bound until it shows up or the session ends, is repeated in answers to reports (the same attempt, so without effect if it arrived), and is not forgotten while a copy may still arrive. Kept because preemption and late deadlines no longer depend on the report interval.

--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -18,6 +18,7 @@
 	"quillshunt/internal/limits"
 	"quillshunt/internal/protocol"
 	"quillshunt/internal/storage"
+	"quillshunt/internal/transport"
 )
 
 // Reply answers a worker's report: 200 with a body, or another status.
@@ -51,6 +52,7 @@
 	writes  chan scheduler.WriteOut
 	log     *slog.Logger
 	pending []scheduler.WriteOut
+	workers map[string]*transport.Client // by address
 }
 
 type reportMsg struct {
@@ -111,7 +113,9 @@
 		mail:   make(chan any, limits.ReportMailbox),
 		start:  time.Now(),
 		writes: make(chan scheduler.WriteOut),
-		log:    d.log.With("term", m.Term),
+
+		workers: map[string]*transport.Client{},
+		log:     d.log.With("term", m.Term),
 	}
 	t.sched = scheduler.New(scheduler.Config{
 		Term: m.Term, Teams: f.Teams, Objectives: f.Objectives, Workers: f.Workers, State: f.State,
@@ -122,6 +126,7 @@
 	d.term.Store(t)
 	defer d.term.Store(nil)
 	defer t.drain()
+	defer t.hangUp()
 
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -317,6 +322,8 @@
 			reply(200, protocol.Encode(protocol.ReportReply{Baton: t.m.Term, Orders: eff.Orders}))
 		case scheduler.WriteOut:
 			t.pending = append(t.pending, eff)
+		case scheduler.DirectOut:
+			go t.send(ctx, eff, t.worker(eff.Address))
 		case scheduler.ProbeOut:
 			go t.probe(ctx, eff)
 		case scheduler.HireOut:
--- a/internal/coordination/leader/workers.go
+++ b/internal/coordination/leader/workers.go
@@ -68,3 +68,51 @@
 	}
 	return fresh, nil
 }
+
+// worker returns the client of a worker's address.
+func (t *term) worker(addr string) *transport.Client {
+	c := t.workers[addr]
+	if c == nil {
+		if len(t.workers) >= limits.WorkerClients {
+			t.hangUp()
+		}
+		c = transport.NewClient(addr, 1, limits.MaxBodyBytes)
+		t.workers[addr] = c
+	}
+	return c
+}
+
+// hangUp drops the kept connections to workers.
+func (t *term) hangUp() {
+	for addr, c := range t.workers {
+		c.Close()
+		delete(t.workers, addr)
+	}
+}
+
+// send carries out a direct command.
+func (t *term) send(ctx context.Context, d scheduler.DirectOut, c *transport.Client) {
+	done := scheduler.DirectDone{ID: d.ID, Rig: d.Rig}
+	if !t.m.Entitled() {
+		done.Refused = true
+		t.post(ctx, done)
+		return
+	}
+	cctx, cancel := context.WithTimeout(ctx, limits.DirectTimeout)
+	defer cancel()
+	status, r, err := t.direct(cctx, c, protocol.Direct{Baton: t.m.Term, Shift: d.Shift, Orders: d.Orders})
+	switch {
+	case errors.Is(err, transport.ErrNotSent):
+		done.Refused = true
+	case err != nil:
+		t.log.Debug("direct command", "machine", d.Rig, "err", err)
+	case status == 409:
+		done.Refused = true
+		if r.Baton > t.m.Term {
+			t.d.lost(t.m.Term)
+		}
+	default:
+		done.Report = r
+	}
+	t.post(ctx, done)
+}
--- a/internal/coordination/scheduler/events.go
+++ b/internal/coordination/scheduler/events.go
@@ -54,6 +54,14 @@
 	Report *protocol.Report
 }
 
+// DirectDone is the outcome of a DirectOut.
+type DirectDone struct {
+	ID      uint64
+	Rig     string
+	Report  *protocol.Report // what the worker has after the commands; nil if there was no answer
+	Refused bool             // nothing was executed: it was not sent, or the worker said so
+}
+
 // WriteDone is the outcome of a WriteOut.
 type WriteDone struct {
 	ID  uint64
@@ -103,6 +111,7 @@
 func (Loaded) event()     {}
 func (ReportIn) event()   {}
 func (ProbeDone) event()  {}
+func (DirectDone) event() {}
 func (WriteDone) event()  {}
 func (HireDone) event()   {}
 func (DeleteDone) event() {}
@@ -131,6 +140,15 @@
 // ProbeOut asks a machine for its tasks and shows it our term.
 type ProbeOut struct{ Rig, Address string }
 
+// DirectOut sends commands to a worker without waiting for its report.
+type DirectOut struct {
+	ID      uint64
+	Rig     string
+	Address string
+	Shift   uint64
+	Orders  []protocol.Order
+}
+
 // HireOut sends a rental request, again and again until there is an answer.
 type HireOut struct{ Req protocol.HireRequest }
 
@@ -160,6 +178,7 @@
 func (ReplyOut) effect()  {}
 func (WriteOut) effect()  {}
 func (ProbeOut) effect()  {}
+func (DirectOut) effect() {}
 func (HireOut) effect()   {}
 func (DeleteOut) effect() {}
 func (ListOut) effect()   {}
--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -73,7 +73,7 @@
 	h.stamp = rev
 	for _, name := range p.marks {
 		if m := s.machines[name]; m != nil && m.mark == marking {
-			m.mark = marked
+			m.mark, m.todo = marked, true
 		}
 	}
 	if h.state == hireWriting {
@@ -390,7 +390,7 @@
 		return
 	}
 	for _, m := range s.fleet {
-		if !m.seen && m.mark != unmarked && m.addr != "" && !m.deleting && s.now >= m.probeAt {
+		if !m.fenced && m.mark != unmarked && m.addr != "" && !m.deleting && s.now >= m.probeAt {
 			m.probeAt = s.now + limits.ProbeEvery
 			s.emit(ProbeOut{Rig: m.name, Address: m.addr})
 		}
--- a/internal/coordination/scheduler/model.go
+++ b/internal/coordination/scheduler/model.go
@@ -51,7 +51,11 @@
 	try       uint64
 	m         *machine
 	phase     phase
-	sentTally uint64        // of the report whose answer carried the start
+	sentTally uint64        // of the report whose answer carried the start; 0 if only a direct command did
+	direct    uint64        // the direct command that carried the start and is not answered yet
+	unclear   bool          // a direct start went out and no answer came: it may arrive as long as this session and term last
+	resent    bool          // the start was repeated in an answer to a report
+	stopSent  time.Duration // when the stop last went out
 	at        time.Duration // when it was bound
 	runAt     time.Duration // when it was first seen running
 	stop      bool
@@ -62,6 +66,7 @@
 // exit is an ended task that its machine still lists.
 type exit struct {
 	try   uint64
+	keep  bool // an unclear start of this attempt may still arrive; forgotten, it would run again
 	j     *job // nil if there is nothing to write down
 	chunk int
 	ver   uint64
@@ -169,9 +174,13 @@
 	spot                   bool
 	typ                    *protocol.Rigkind
 
-	seen      bool // reported in our term
+	seen      bool // we have its task list in our term
+	fenced    bool // its worker has seen our term, so no earlier leader can add tasks
 	shift     uint64
-	tally     uint64
+	tally     uint64        // of the newest task list, from a report or a direct command
+	reportNo  uint64        // tally of the newest report
+	directID  uint64        // a direct command that is not answered yet
+	mute      time.Duration // no direct commands before this
 	deadShift uint64        // sessions up to this one are surely over
 	heard     time.Duration // arrival of the last report
 	leaseBase time.Duration // the session is over WaitOut(lease) after this, if we answer no more
@@ -192,6 +201,7 @@
 	missing   int // lists in a row that lack it
 	idleSince time.Duration
 	wanted    bool // the last plan counts on it
+	todo      bool // has orders that did not go out yet
 	deleting  bool
 	askedAt   time.Duration
 	deleteWhy string
@@ -307,7 +317,8 @@
 	seq      uint64 // of attempts
 	hireSeq  uint64
 	writeSeq uint64
-	dirty    bool // something changed that placement looks at
+	sendSeq  uint64 // of direct commands
+	dirty    bool   // something changed that placement looks at
 	settled  bool
 	planAt   time.Duration
 	listAt   time.Duration
@@ -387,6 +398,7 @@
 func (s *Scheduler) bind(j *job, idx int, m *machine, try uint64, ph phase) *binding {
 	b := &binding{j: j, idx: idx, try: try, m: m, phase: ph, at: s.now}
 	j.bound[idx] = b
+	m.todo = true
 	setBit(j.busy, idx)
 	m.binds[protocol.PieceName(j.id, idx)] = b
 	m.used = m.used.plus(j.need)
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -17,64 +17,159 @@
 		return
 	}
 	m := s.machine(r.Rig, r.Rigkind, r.Yard, r.Lendable)
-	if m.seen && (r.Shift < m.shift || (r.Shift == m.shift && r.Tally <= m.tally)) || r.Shift <= m.deadShift {
+	if m.seen && (r.Shift < m.shift || (r.Shift == m.shift && r.Tally <= m.reportNo)) || r.Shift <= m.deadShift {
 		// Late or repeated: the worker waits for no answer to it, and its task list is old.
 		s.emit(ReplyOut{Ref: e.Ref})
 		return
 	}
-	if r.Shift > m.shift && m.seen {
+	s.session(m, r)
+	m.reportNo, m.addr = r.Tally, r.Address
+	m.heard, m.leaseBase = s.now, s.now
+	s.markUp(m)
+	if r.WarningS != nil && !m.notice {
+		m.notice = true
+		m.noticeEnd = s.now + limits.Seconds(*r.WarningS)
+		s.note(false, "spot notice", "machine", m.name, "seconds", *r.WarningS, "tasks", len(m.binds))
+		s.withdraw(m)
+	}
+	var orders []protocol.Order
+	if r.Tally > m.tally { // else a direct command's answer has overtaken it
+		orders = s.takeTasks(m, r, 0)
+	}
+	if m.notice {
+		s.clearForNotice(m)
+	}
+	s.place()
+	orders = s.orders(m, r.Tally, orders)
+	m.todo = false
+	s.emit(ReplyOut{Ref: e.Ref, OK: true, Orders: orders})
+}
+
+// session takes the session of a message that is not old. The tasks of earlier sessions were killed.
+func (s *Scheduler) session(m *machine, r *protocol.Report) {
+	if m.seen && r.Shift > m.shift {
 		for _, b := range m.sortedBinds() {
 			if b.phase != assigned {
 				s.note(true, "session lost", "machine", m.name, "job", b.j.id, "task", b.idx, "attempt", b.try)
 			}
-			s.unbind(b) // the worker killed the tasks of earlier sessions
+			s.unbind(b)
 		}
 		m.exits = map[string]exit{}
 		m.images = map[string]time.Duration{}
 	}
 	if !m.seen || r.Shift > m.shift {
+		m.tally, m.reportNo = 0, 0
 		s.dirty = true
 	}
 	if !m.seen {
-		m.upAt = s.now
-		m.idleSince = s.now
-	}
-	m.seen, m.shift, m.tally, m.addr = true, r.Shift, r.Tally, r.Address
-	m.heard, m.leaseBase = s.now, s.now
-	s.markUp(m)
-	if r.WarningS != nil && !m.notice {
-		m.notice = true
-		m.noticeEnd = s.now + limits.Seconds(*r.WarningS)
-		s.note(false, "spot notice", "machine", m.name, "seconds", *r.WarningS, "tasks", len(m.binds))
-		s.withdraw(m)
+		m.upAt, m.idleSince = s.now, s.now
 	}
-	orders := s.takeTasks(m, r)
-	if m.notice {
-		s.clearForNotice(m)
+	m.seen, m.shift = true, r.Shift
+	if r.Baton == s.cfg.Term && !m.fenced {
+		m.fenced, s.dirty = true, true
 	}
-	s.place()
-	orders = s.orders(m, r, orders)
-	s.emit(ReplyOut{Ref: e.Ref, OK: true, Orders: orders})
 }
 
-// probeDone takes the task list of a machine that has not reported to us yet. The list was made after the machine had seen our term, so no order
-// of an earlier leader can add to it, and none of ours has been sent. It renews no lease.
+// probeDone takes the task list of a machine that has not shown us that it saw our term. The list was made after the worker had seen it, so no order
+// of an earlier leader can add to it. It renews no lease.
 func (s *Scheduler) probeDone(e ProbeDone) {
 	m := s.machines[e.Rig]
 	r := e.Report
-	if m == nil || r == nil || m.seen || r.Rig != e.Rig || !r.Valid() || r.Baton != s.cfg.Term {
+	if m == nil || r == nil || r.Rig != e.Rig || !r.Valid() || r.Baton != s.cfg.Term || s.old(m, r) {
 		return
 	}
-	m.seen, m.shift, m.tally = true, r.Shift, r.Tally
-	m.upAt, m.idleSince = s.now, s.now
-	s.takeTasks(m, r)
-	s.dirty = true
+	s.session(m, r)
+	s.strays(m, s.takeTasks(m, r, 0))
 	s.settle()
-	s.place()
 }
 
-// takeTasks compares what a machine has with what we think it has. It returns orders about tasks that should not be there.
-func (s *Scheduler) takeTasks(m *machine, r *protocol.Report) []protocol.Order {
+// old tells whether a message is older than what we know of a machine.
+func (s *Scheduler) old(m *machine, r *protocol.Report) bool {
+	return m.seen && (r.Shift < m.shift || (r.Shift == m.shift && r.Tally <= m.tally)) || r.Shift <= m.deadShift
+}
+
+// directDone takes the answer to a direct command.
+func (s *Scheduler) directDone(e DirectDone) {
+	m := s.machines[e.Rig]
+	if m == nil || m.directID != e.ID {
+		return
+	}
+	m.directID = 0
+	switch {
+	case e.Refused:
+		// Nothing reached the worker, or it executed nothing: these starts cannot arrive any more.
+		m.mute = s.now + limits.MuteAfter
+		for _, b := range m.sortedBinds() {
+			if b.direct == e.ID && b.phase == sent {
+				s.unbind(b)
+			}
+		}
+		return
+	case e.Report == nil:
+		// It may be carried out at any time while the session and the term last. The next answers to reports
+		// repeat the starts, which is harmless, and the tasks stay bound until they show up or the session ends.
+		m.mute = s.now + limits.MuteAfter
+		for _, b := range m.binds {
+			if b.direct == e.ID {
+				b.direct, b.unclear = 0, true
+			}
+		}
+		return
+	}
+	r := e.Report
+	if r.Rig != e.Rig || !r.Valid() {
+		return
+	}
+	if s.old(m, r) {
+		// A later message was here first and has told what became of the tasks, but for one that it was too early for.
+		for _, b := range m.binds {
+			if b.direct == e.ID {
+				b.direct, b.unclear = 0, true
+			}
+		}
+		return
+	}
+	s.session(m, r)
+	s.strays(m, s.takeTasks(m, r, e.ID))
+}
+
+// strays sends orders about tasks that should not be on a machine; if it is not possible now, its next report brings them up again.
+func (s *Scheduler) strays(m *machine, orders []protocol.Order) {
+	if len(orders) > 0 && s.reachable(m) {
+		s.send(m, orders)
+	}
+}
+
+func (s *Scheduler) reachable(m *machine) bool {
+	return m.directID == 0 && m.addr != "" && m.seen && m.fenced && !m.deleting && s.now >= m.mute && s.now <= m.heard+s.stale() && m.shift > m.deadShift
+}
+
+func (s *Scheduler) send(m *machine, orders []protocol.Order) {
+	s.sendSeq++
+	m.directID = s.sendSeq
+	s.emit(DirectOut{ID: m.directID, Rig: m.name, Address: m.addr, Shift: m.shift, Orders: orders})
+}
+
+// dispatch sends starts and stops directly to machines that have just been decided on.
+func (s *Scheduler) dispatch() {
+	for _, m := range s.fleet {
+		if !m.todo {
+			continue
+		}
+		m.todo = false
+		if !s.reachable(m) {
+			continue
+		}
+		if orders := s.orders(m, 0, nil); len(orders) > 0 {
+			s.send(m, orders)
+		}
+	}
+}
+
+// takeTasks compares what a machine has with what we think it has. It returns orders about tasks that should not be there. The message is
+// a report, or with direct set the answer to that direct command.
+func (s *Scheduler) takeTasks(m *machine, r *protocol.Report, direct uint64) []protocol.Order {
+	m.tally = r.Tally
 	var orders []protocol.Order
 	listed := make(map[string]bool, len(r.Pieces))
 	exits := make(map[string]exit, len(m.exits))
@@ -91,6 +186,7 @@
 		if t.Standing == protocol.Ended {
 			ours := b != nil && b.try == t.Try
 			if ours {
+				b.arrived()
 				listed[t.Piece] = true
 			}
 			x, seen := m.exits[exitKey(t)]
@@ -115,6 +211,9 @@
 				x = exit{try: t.Try}
 			}
 			exits[exitKey(t)] = x
+			if x.keep {
+				continue
+			}
 			if x.j == nil || x.j.over || x.j.chunks[x.chunk].durable >= x.ver {
 				orders = append(orders, protocol.Order{Verb: protocol.VerbForget, Piece: t.Piece, Try: t.Try})
 			}
@@ -163,9 +262,16 @@
 		if b.phase == assigned || listed[protocol.PieceName(b.j.id, b.idx)] {
 			continue
 		}
-		// Every start goes out in the answer to a report. The worker has one report in flight and sends the next only once that
-		// exchange is over, so a start that a later report lacks can no longer arrive.
-		if b.phase != sent {
+		if b.phase == sent {
+			switch {
+			case b.unclear || (b.direct != 0 && b.direct != direct):
+				continue // a direct start that may still arrive
+			case b.direct == 0 && direct != 0:
+				continue // the start went out in an answer to a report; that exchange may not be over yet
+			}
+			// It was in this very command; or it went out in the answer to an earlier report. The worker has one report in
+			// flight and sends the next only once that exchange is over. Either way it can no longer arrive.
+		} else {
 			s.note(true, "task vanished", "job", b.j.id, "task", b.idx, "attempt", b.try, "machine", m.name)
 		}
 		s.unbind(b)
@@ -175,8 +281,17 @@
 
 func exitKey(t *protocol.TaskReport) string { return fmt.Sprintf("%s#%d", t.Piece, t.Try) }
 
+// arrived notes that the worker has our start. Only where it was repeated can another copy still be on its way.
+func (b *binding) arrived() {
+	b.direct = 0
+	if !b.resent {
+		b.unclear = false
+	}
+}
+
 // progress notes what a bound task is doing.
 func (s *Scheduler) progress(b *binding, t *protocol.TaskReport) {
+	b.arrived()
 	switch t.Standing {
 	case protocol.Running:
 		if b.phase != running {
@@ -201,7 +316,7 @@
 		ran = (s.now - b.runAt).Seconds()
 	}
 	s.unbind(b)
-	x := exit{try: t.Try}
+	x := exit{try: t.Try, keep: b.unclear}
 	switch t.Cause {
 	case protocol.CauseDone:
 		m.images[j.spec.Bundle] = s.now
@@ -292,7 +407,9 @@
 }
 
 // orders are what a machine is told: stops and forgets first, then starts that fit into room that is surely free.
-func (s *Scheduler) orders(m *machine, r *protocol.Report, orders []protocol.Order) []protocol.Order {
+//
+// tally is that of the report that is answered, or 0 for a direct command.
+func (s *Scheduler) orders(m *machine, tally uint64, orders []protocol.Order) []protocol.Order {
 	zero := 0.0
 	var held room // by tasks that are on the machine or on their way
 	binds := m.sortedBinds()
@@ -301,7 +418,13 @@
 			continue
 		}
 		held = held.plus(b.j.need)
-		if b.stop {
+		if b.phase == sent && b.unclear && !b.stop && !b.j.cancelled && tally != 0 {
+			// The same attempt again: without effect if the first start has arrived, or arrives later.
+			b.resent = true
+			orders = append(orders, protocol.Order{Verb: protocol.VerbStart, Piece: protocol.PieceName(b.j.id, b.idx), Try: b.try})
+		}
+		if b.stop && (tally != 0 || b.stopSent == 0) {
+			b.stopSent = s.now
 			o := protocol.Order{Verb: protocol.VerbStop, Piece: protocol.PieceName(b.j.id, b.idx), Try: b.try, LeewayS: &zero}
 			if b.j.spec.BookmarkS > 0 && !b.j.cancelled && b.stopWhy != "done elsewhere" {
 				grace := b.j.spec.StashS + limits.StashMargin.Seconds()
@@ -327,7 +450,10 @@
 			continue // its room is not confirmed yet
 		}
 		held = held.plus(b.j.need)
-		b.phase, b.sentTally, b.at = sent, r.Tally, s.now
+		b.phase, b.sentTally, b.at = sent, tally, s.now
+		if tally == 0 {
+			b.direct = s.sendSeq + 1 // see send
+		}
 		orders = append(orders, protocol.Order{Verb: protocol.VerbStart, Piece: protocol.PieceName(b.j.id, b.idx), Try: b.try})
 		if len(orders) >= limits.MaxOrders {
 			break
--- a/internal/coordination/scheduler/step.go
+++ b/internal/coordination/scheduler/step.go
@@ -53,6 +53,8 @@
 		s.reportIn(e)
 	case ProbeDone:
 		s.probeDone(e)
+	case DirectDone:
+		s.directDone(e)
 	case WriteDone:
 		s.writeDone(e)
 	case HireDone:
@@ -68,6 +70,8 @@
 	case Tick:
 		s.tick(e.Entitled)
 	}
+	s.place()
+	s.dispatch()
 	return s.out
 }
 
@@ -162,6 +166,7 @@
 		return
 	}
 	b.stop, b.stopWhy, b.stopAt = true, why, s.now
+	b.m.todo = true
 	s.note(false, "stopping", "job", b.j.id, "task", b.idx, "attempt", b.try, "machine", b.m.name, "reason", why)
 }
 
@@ -328,7 +333,6 @@
 		return
 	}
 	s.flush()
-	s.place()
 	s.manageFleet()
 }
 
@@ -379,7 +383,7 @@
 func (s *Scheduler) settle() {
 	if s.now < s.took+limits.WaitOut(s.lease) {
 		for _, m := range s.fleet {
-			if !m.seen && m.mark != unmarked {
+			if !m.fenced && m.mark != unmarked {
 				return
 			}
 		}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -114,8 +114,6 @@
 	WriterQueue = 256
 	// StaleReport is how long a report may wait in our mailbox; the worker drops an answer after 4 s.
 	StaleReport = 3 * time.Second
-	// WorkerStage is how many direct commands are in flight at once.
-	WorkerStage = 32
 )
 
 // Leadership.
@@ -229,6 +227,12 @@
 	ProbeEvery = 2 * time.Second
 	// ProbeTimeout bounds the two calls of a probe.
 	ProbeTimeout = 1500 * time.Millisecond
+	// DirectTimeout bounds a direct command; a worker answers in milliseconds or not at all.
+	DirectTimeout = 2 * time.Second
+	// MuteAfter is how long a worker that did not answer a direct command gets its orders by reports only.
+	MuteAfter = 10 * time.Second
+	// WorkerClients bounds the workers that connections are kept to.
+	WorkerClients = 512
 	// AskAgain is the pause before a deletion that got no clear answer is repeated.
 	AskAgain = 2 * time.Second
 	// CancelShare is the share of cancel_s after which a machine that still has a cancelled task is deleted.
