--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -229,7 +229,7 @@
 		case b != nil && b.try == t.Try:
 			listed[t.Piece] = true
 			s.progress(b, t)
-		case known && !j.cancelled && !getBit(j.done, idx) && (j.bound[idx] == nil || j.bound[idx].phase == assigned):
+		case known && !getBit(j.done, idx) && (j.bound[idx] == nil || j.bound[idx].phase == assigned):
 			// Running, but not by our order: of an earlier term, mostly. It is ours now.
 			if o := j.bound[idx]; o != nil {
 				s.unbind(o)
@@ -237,7 +237,7 @@
 			b := s.bind(j, idx, m, t.Try, sent)
 			s.progress(b, t)
 			listed[t.Piece] = true
-			if !s.settled {
+			if !s.settled || j.cancelled {
 				break
 			}
 			s.note(true, "unexpected task adopted", "job", j.id, "task", idx, "attempt", t.Try, "machine", m.name)
@@ -418,8 +418,9 @@
 			continue
 		}
 		held = held.plus(b.j.need)
-		if b.phase == sent && b.unclear && !b.stop && !b.j.cancelled && tally != 0 {
-			// The same attempt again: without effect if the first start has arrived, or arrives later.
+		if b.phase == sent && b.unclear && !b.j.cancelled && !b.j.over && tally != 0 {
+			// The same attempt again: without effect if the first start has arrived, or arrives later. With a stop behind it, it
+			// only makes the worker know the attempt. A cancelled job's task is not started even so; dropBroken sees to its machine.
 			b.resent = true
 			orders = append(orders, protocol.Order{Verb: protocol.VerbStart, Piece: protocol.PieceName(b.j.id, b.idx), Try: b.try})
 		}
--- a/internal/coordination/scheduler/step.go
+++ b/internal/coordination/scheduler/step.go
@@ -175,6 +175,9 @@
 	if j.over || j.finishing || len(j.bound) > 0 || (!j.cancelled && j.doneN < j.spec.Pieces) {
 		return
 	}
+	if j.cancelled && !s.settled {
+		return // tasks of it that we have not heard of yet still count against its team's limit
+	}
 	standing := protocol.Done
 	if j.cancelled {
 		standing = protocol.Aborted
