Relay reports of workers that cannot reach the leader

A follower now asks the leader over gRPC about every worker that comes to it; the leader has it come itself, or, if it was here before and is cut off, answers through the follower.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -37,12 +37,16 @@
 	stage  chan struct{}
 	types  atomic.Pointer[[]protocol.Rigkind]
 	finals finals
+
+	relays  chan struct{}
+	cutTill atomic.Int64 // until when the leader is taken to be out of our reach, in Unix nanoseconds
 }
 
 // Start prepares the gateway; its work ends with the context.
 func (g *Gateway) Start(ctx context.Context) {
 	g.ctx = ctx
 	g.stage = make(chan struct{}, limits.UserStage)
+	g.relays = make(chan struct{}, limits.RelayStage)
 	g.finals.m = map[string]string{}
 	go g.followTypes(ctx)
 }
@@ -172,7 +176,17 @@
 		if name == g.Node {
 			name = ""
 		}
-		rsp.Respond(421, protocol.Encode(protocol.Redirect{Foreman: name}), 0)
+		if name != "" && time.Now().UnixNano() < g.cutTill.Load() {
+			// We cannot reach the leader either, so the worker may try another node.
+			rsp.Respond(421, protocol.Encode(protocol.Redirect{}), 0)
+			return
+		}
+		select {
+		case g.relays <- struct{}{}:
+			go g.relay(name, req.Body, rsp)
+		default:
+			rsp.Respond(421, protocol.Encode(protocol.Redirect{Foreman: name}), 0)
+		}
 		return
 	}
 	var r protocol.Report
@@ -183,6 +197,24 @@
 	g.Desk.Report(&r, func(status int, body []byte) { rsp.Respond(status, body, 0) })
 }
 
+// relay asks the leader about a worker that came here. Mostly the leader wants it to come itself; if it cannot, as when the
+// network between its zone and the leader's is cut, the leader answers its reports through us.
+func (g *Gateway) relay(name string, body []byte, rsp *transport.Responder) {
+	defer func() { <-g.relays }()
+	if name == "" {
+		rsp.Respond(421, protocol.Encode(protocol.Redirect{}), 0)
+		return
+	}
+	status, answer, err := g.Peers.Relay(g.ctx, name, body)
+	if err != nil {
+		g.cutTill.Store(time.Now().Add(limits.CutPause).UnixNano())
+		g.Log.Debug("leader not reached", "leader", name, "err", err)
+		rsp.Respond(421, protocol.Encode(protocol.Redirect{}), 0)
+		return
+	}
+	rsp.Respond(status, answer, 0)
+}
+
 type problem struct {
 	Error string `cbor:"error"`
 }
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -59,6 +59,7 @@
 	r       *protocol.Report
 	reply   Reply
 	arrived time.Time
+	relayed bool
 }
 
 type countsMsg struct {
@@ -70,14 +71,36 @@
 func (d *Desk) Leads() bool { return d.term.Load() != nil }
 
 // Report hands a report to the term. It is answered 503 at once if nobody leads here or the mailbox is full.
-func (d *Desk) Report(r *protocol.Report, reply Reply) {
+func (d *Desk) Report(r *protocol.Report, reply Reply) { d.take(r, reply, false) }
+
+// Relayed takes a report that came through another controller.
+func (d *Desk) Relayed(ctx context.Context, body []byte) (int, []byte) {
+	var r protocol.Report
+	if err := protocol.Decode(body, &r); err != nil || !r.Valid() {
+		return 400, nil
+	}
+	type answer struct {
+		status int
+		body   []byte
+	}
+	got := make(chan answer, 1)
+	d.take(&r, func(status int, body []byte) { got <- answer{status, body} }, true)
+	select {
+	case a := <-got:
+		return a.status, a.body
+	case <-ctx.Done():
+		return 503, nil
+	}
+}
+
+func (d *Desk) take(r *protocol.Report, reply Reply, relayed bool) {
 	t := d.term.Load()
 	if t == nil {
 		reply(503, nil)
 		return
 	}
 	select {
-	case t.mail <- reportMsg{r: r, reply: reply, arrived: time.Now()}:
+	case t.mail <- reportMsg{r: r, reply: reply, arrived: time.Now(), relayed: relayed}:
 	default:
 		reply(503, nil)
 	}
@@ -299,7 +322,7 @@
 					t.d.lost(t.m.Term) // the worker has seen a later leader
 				}
 				fresh := time.Since(msg.arrived) < limits.StaleReport
-				t.step(ctx, scheduler.ReportIn{Report: msg.r, Ref: msg.reply, Entitled: fresh && t.m.Entitled()})
+				t.step(ctx, scheduler.ReportIn{Report: msg.r, Ref: msg.reply, Entitled: fresh && t.m.Entitled(), Relayed: msg.relayed})
 			case countsMsg:
 				t.step(ctx, scheduler.CountsIn{ID: msg.job, Ref: msg.reply})
 			case scheduler.Event:
@@ -315,6 +338,10 @@
 		switch eff := eff.(type) {
 		case scheduler.ReplyOut:
 			reply := eff.Ref.(Reply)
+			if eff.Redirect {
+				reply(421, protocol.Encode(protocol.Redirect{Foreman: t.d.settings.NodeName}))
+				continue
+			}
 			if !eff.OK || !t.m.Entitled() {
 				reply(503, nil)
 				continue
--- a/internal/coordination/peer/peer.go
+++ b/internal/coordination/peer/peer.go
@@ -23,6 +23,8 @@
 type Local interface {
 	// Counts returns a job's counts if this process leads and knows the job.
 	Counts(ctx context.Context, job string) (Counts, bool)
+	// Relayed takes a worker's report that came through another controller.
+	Relayed(ctx context.Context, report []byte) (status int, body []byte)
 }
 
 // Server answers other controllers.
@@ -63,6 +65,12 @@
 	return &peerpb.CountsReply{Known: ok, Done: int64(c.Done), Running: int64(c.Running)}, nil
 }
 
+// Relay implements the service.
+func (s *Server) Relay(ctx context.Context, r *peerpb.RelayRequest) (*peerpb.RelayReply, error) {
+	status, body := s.local.Relayed(ctx, r.GetReport())
+	return &peerpb.RelayReply{Status: int32(status), Body: body}, nil
+}
+
 // Peers are the other controllers.
 type Peers struct{ conns map[string]*grpc.ClientConn }
 
@@ -102,3 +110,18 @@
 	}
 	return Counts{Done: int(r.GetDone()), Running: int(r.GetRunning())}, true
 }
+
+// Relay hands a worker's report to the leading controller.
+func (p *Peers) Relay(ctx context.Context, node string, report []byte) (status int, body []byte, err error) {
+	conn := p.conns[node]
+	if conn == nil {
+		return 0, nil, fmt.Errorf("relay: no controller %q", node)
+	}
+	ctx, cancel := context.WithTimeout(ctx, limits.RelayTimeout)
+	defer cancel()
+	r, err := peerpb.NewPeerClient(conn).Relay(ctx, &peerpb.RelayRequest{Report: report})
+	if err != nil {
+		return 0, nil, fmt.Errorf("relay: %w", err)
+	}
+	return int(r.GetStatus()), r.GetBody(), nil
+}
--- a/internal/coordination/scheduler/events.go
+++ b/internal/coordination/scheduler/events.go
@@ -46,6 +46,7 @@
 	Report   *protocol.Report
 	Ref      any
 	Entitled bool
+	Relayed  bool // came through another controller
 }
 
 // ProbeDone is what a machine answered to a ProbeOut: its report after it had seen our term, or nothing.
@@ -123,11 +124,12 @@
 // Effect is something to do.
 type Effect interface{ effect() }
 
-// ReplyOut answers a report: 200 with orders, or 503.
+// ReplyOut answers a report: 200 with orders, 421 to make the worker come itself, or 503.
 type ReplyOut struct {
-	Ref    any
-	OK     bool
-	Orders []protocol.Order
+	Ref      any
+	OK       bool
+	Redirect bool
+	Orders   []protocol.Order
 }
 
 // WriteOut changes the state service under the leader's guard, whole or not at all.
--- a/internal/coordination/scheduler/model.go
+++ b/internal/coordination/scheduler/model.go
@@ -179,6 +179,10 @@
 	shift     uint64
 	tally     uint64        // of the newest task list, from a report or a direct command
 	reportNo  uint64        // tally of the newest report
+	direct    bool          // has reported to us itself in our term
+	relayed   bool          // its last report came through another controller
+	relayFrom time.Duration // when that began
+	relayTry  int
 	directID  uint64        // a direct command that is not answered yet
 	mute      time.Duration // no direct commands before this
 	deadShift uint64        // sessions up to this one are surely over
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -22,6 +22,10 @@
 		s.emit(ReplyOut{Ref: e.Ref})
 		return
 	}
+	if !s.relay(m, e.Relayed) {
+		s.emit(ReplyOut{Ref: e.Ref, Redirect: true})
+		return
+	}
 	s.session(m, r)
 	m.reportNo, m.addr = r.Tally, r.Address
 	m.heard, m.leaseBase = s.now, s.now
@@ -45,6 +49,28 @@
 	s.emit(ReplyOut{Ref: e.Ref, OK: true, Orders: orders})
 }
 
+// relay tells whether a report is answered the way it came. A worker that comes through another controller is first told to come itself; one
+// that was here before and now comes that way cannot reach us. From time to time it is told to try again.
+func (s *Scheduler) relay(m *machine, relayed bool) bool {
+	if !relayed {
+		m.direct, m.relayed, m.relayTry = true, false, 0
+		return true
+	}
+	if !m.direct && m.relayTry == 0 {
+		m.relayTry++
+		return false
+	}
+	if m.relayed && s.now > m.relayFrom+limits.RelayFor {
+		m.relayed = false
+		return false
+	}
+	if !m.relayed {
+		m.relayed, m.relayFrom = true, s.now
+		s.note(true, "reports relayed", "machine", m.name)
+	}
+	return true
+}
+
 // session takes the session of a message that is not old. The tasks of earlier sessions were killed.
 func (s *Scheduler) session(m *machine, r *protocol.Report) {
 	if m.seen && r.Shift > m.shift {
@@ -141,7 +167,7 @@
 }
 
 func (s *Scheduler) reachable(m *machine) bool {
-	return m.directID == 0 && m.addr != "" && m.seen && m.fenced && !m.deleting && s.now >= m.mute && s.now <= m.heard+s.stale() && m.shift > m.deadShift
+	return m.directID == 0 && !m.relayed && m.addr != "" && m.seen && m.fenced && !m.deleting && s.now >= m.mute && s.now <= m.heard+s.stale() && m.shift > m.deadShift
 }
 
 func (s *Scheduler) send(m *machine, orders []protocol.Order) {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -233,6 +233,14 @@
 	MuteAfter = 10 * time.Second
 	// WorkerClients bounds the workers that connections are kept to.
 	WorkerClients = 512
+	// RelayFor is how long a worker's reports are relayed before it is told to try the leader itself again. A try that fails costs it 5 s of its lease.
+	RelayFor = 30 * time.Second
+	// RelayTimeout bounds a relayed report; the worker waits 4 s.
+	RelayTimeout = 1500 * time.Millisecond
+	// RelayStage is how many reports are relayed at once.
+	RelayStage = 64
+	// CutPause is how long a node that could not reach the leader sends workers elsewhere without asking again.
+	CutPause = 3 * time.Second
 	// AskAgain is the pause before a deletion that got no clear answer is repeated.
 	AskAgain = 2 * time.Second
 	// CancelShare is the share of cancel_s after which a machine that still has a cancelled task is deleted.
