--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -312,6 +312,10 @@
 		s.listing = true
 		s.emit(ListOut{})
 	}
+	if s.now >= s.sumAt {
+		s.sumAt = s.now + limits.SummaryEvery
+		s.summary()
+	}
 	s.probe()
 	s.dropBroken()
 	if s.now >= s.planAt && s.settled && len(s.types) > 0 {
@@ -330,6 +334,27 @@
 	}
 }
 
+// summary is a line that shows how the term stands.
+func (s *Scheduler) summary() {
+	up, booting, total, used, waiting, bound := 0, 0, 0.0, 0.0, 0, 0
+	for _, m := range s.fleet {
+		if !m.seen {
+			booting++
+			continue
+		}
+		up++
+		total += m.size().cpu
+		used += m.used.cpu
+	}
+	for _, j := range s.queue {
+		if !j.cancelled {
+			waiting += j.free()
+		}
+		bound += len(j.bound)
+	}
+	s.note(false, "summary", "up", up, "booting", booting, "cpus", total, "used", used, "jobs", len(s.queue), "waiting", waiting, "bound", bound, "settled", s.settled)
+}
+
 // dropBroken returns machines that do not serve: never up, silent, sick.
 func (s *Scheduler) dropBroken() {
 	silent, up, unheard := 0, 0, 0
--- a/internal/coordination/scheduler/model.go
+++ b/internal/coordination/scheduler/model.go
@@ -326,6 +326,7 @@
 	settled  bool
 	planAt   time.Duration
 	listAt   time.Duration
+	sumAt    time.Duration
 	listing  bool
 	typesAt  time.Duration
 	out      []Effect
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -233,6 +233,8 @@
 	MuteAfter = 10 * time.Second
 	// WorkerClients bounds the workers that connections are kept to.
 	WorkerClients = 512
+	// SummaryEvery is how often the leader logs how it stands.
+	SummaryEvery = 10 * time.Second
 	// RelayFor is how long a worker's reports are relayed before it is told to try the leader itself again. A try that fails costs it 5 s of its lease.
 	RelayFor = 30 * time.Second
 	// RelayTimeout bounds a relayed report; the worker waits 4 s.
