--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -151,7 +151,7 @@
 	// WeighCost is the multiplier of the preemption cost weigher.
 	WeighCost = 100.0
 	// WeighImage prefers machines that have the image, which saves the fetch.
-	WeighImage = 20.0
+	WeighImage = 8.0
 	// WeighPack prefers machines that are left with less free room, so that others empty and can be returned.
 	WeighPack = 4.0
 	// WeighSpeed prefers machines seen to be fast.
