--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -498,16 +498,57 @@
 			s.hireMachines(p, n)
 		}
 	}
+	s.drain()
 	for _, m := range s.fleet {
 		if m.deleting || !m.seen || m.wanted || len(m.binds) > 0 || !s.durable(m) || m.hire == "" {
 			continue
 		}
-		if s.now > m.idleSince+limits.IdleReturn && s.now > m.created+limits.LeastCharge {
+		idle := limits.IdleReturn
+		if m.drain {
+			idle = limits.DrainReturn
+		}
+		if s.now > m.idleSince+idle && s.now > m.created+limits.LeastCharge {
 			s.remove(m, "idle")
 		}
 	}
 }
 
+// drain picks machines that are not needed to empty and be returned, the dearest and emptiest first: spread thin, the work would keep all of
+// them. It is decided anew with every plan, so a burst brings them back at once.
+func (s *Scheduler) drain() {
+	var total, used, waiting float64
+	var ms []*machine
+	for _, m := range s.fleet {
+		m.drain = false
+		if !s.usable(m) {
+			continue
+		}
+		total += m.size().cpu
+		used += m.used.cpu
+		ms = append(ms, m)
+	}
+	for _, j := range s.queue {
+		if !j.cancelled {
+			waiting += float64(j.free()) * j.need.cpu
+		}
+	}
+	surplus := total - (used+waiting)*(1+limits.DrainHeadroom)
+	perCPU := func(m *machine) float64 { return m.price() / max(m.size().cpu, 1) }
+	sort.SliceStable(ms, func(a, b int) bool {
+		x, y := ms[a], ms[b]
+		if px, py := perCPU(x), perCPU(y); px != py {
+			return px > py
+		}
+		return x.used.cpu/max(x.size().cpu, 1) < y.used.cpu/max(y.size().cpu, 1)
+	})
+	for _, m := range ms {
+		if free := m.freeRoom().cpu; free > 0 && m.size().cpu <= surplus && s.now > m.created+limits.LeastCharge/2 {
+			m.drain = true
+			surplus -= m.size().cpu
+		}
+	}
+}
+
 // pendingOffers are the machines of rentals that are under way.
 func (s *Scheduler) pendingOffers() []*offer {
 	var out []*offer
--- a/internal/coordination/scheduler/model.go
+++ b/internal/coordination/scheduler/model.go
@@ -205,6 +205,7 @@
 	missing   int // lists in a row that lack it
 	idleSince time.Duration
 	wanted    bool // the last plan counts on it
+	drain     bool // to be emptied and returned, unless work comes
 	todo      bool // has orders that did not go out yet
 	deleting  bool
 	askedAt   time.Duration
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -188,7 +188,7 @@
 	pressing := s.pressing(j)
 	var cs []candidate
 	for _, m := range s.fleet {
-		if !s.usable(m) || !s.allowed(j, m) {
+		if m.drain || !s.usable(m) || !s.allowed(j, m) {
 			continue
 		}
 		free := m.freeRoom()
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -197,6 +197,10 @@
 	LeastCharge = 60 * time.Second
 	// IdleReturn is how long a machine stays idle before it goes back.
 	IdleReturn = 15 * time.Second
+	// DrainReturn is the same for a machine that is not needed.
+	DrainReturn = 3 * time.Second
+	// DrainHeadroom is the share of the work at hand that is kept free for what comes before machines are emptied.
+	DrainHeadroom = 0.4
 	// PlanHorizon is the longest that a job is planned to wait for room, however much time it has.
 	PlanHorizon = 15 * time.Second
 	// SlackShare is the share of a job's slack that it is planned to wait; the rest is for what goes wrong.
