Small jobs first among those that can be on time

The aims count jobs, so the job with the least waiting work goes first while it can still meet a time; priority and guarantee come before.

--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -61,6 +61,7 @@
 	j     *job
 	late  bool
 	slack time.Duration
+	work  float64 // CPU seconds that its waiting tasks need
 }
 
 // claims orders the jobs that want room: by priority, guarantee before borrowed, then by slack to the next time
@@ -74,6 +75,7 @@
 		}
 		c := claim{j: j}
 		c.slack, c.late = s.slack(j)
+		c.work = float64(j.free()) * j.estimate() * j.need.cpu
 		cs = append(cs, c)
 	}
 	sort.SliceStable(cs, func(a, b int) bool {
@@ -85,6 +87,8 @@
 			return x.j.guar
 		case x.late != y.late:
 			return !x.late
+		case x.work != y.work && !x.late:
+			return x.work < y.work
 		case x.slack != y.slack:
 			return x.slack < y.slack
 		case x.j.at != y.j.at:
