Slack weighs the waiting work in the queue

Within noise; kept, as a job with little time left should not wait for one that has plenty and is slightly smaller.

--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -61,7 +61,7 @@
 	j     *job
 	late  bool
 	slack time.Duration
-	work  float64 // CPU seconds that its waiting tasks need
+	work  float64 // CPU seconds that its waiting tasks need, weighted by the slack
 }
 
 // claims orders the jobs that want room: by priority, guarantee before borrowed, then by slack to the next time
@@ -75,7 +75,8 @@
 		}
 		c := claim{j: j}
 		c.slack, c.late = s.slack(j)
-		c.work = float64(j.free()) * j.estimate() * j.need.cpu
+		c.work = float64(j.free()) * j.estimate() * j.need.cpu *
+			(min(c.slack, limits.SlackCap) + limits.SlackBase).Seconds()
 		cs = append(cs, c)
 	}
 	sort.SliceStable(cs, func(a, b int) bool {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -165,6 +165,11 @@
 	// JobBackoffMin and JobBackoffMax bound the growing delay of a job that fails everywhere.
 	JobBackoffMin = 2 * time.Second
 	JobBackoffMax = 60 * time.Second
+	// SlackBase is added to a job's slack before it weighs its work in the queue, so that slack decides between jobs of like work and work
+	// between jobs of like slack.
+	SlackBase = 30 * time.Second
+	// SlackCap bounds that slack, for jobs without any time to meet.
+	SlackCap = time.Hour
 	// PreemptSlack is the slack below which a deadline is held to be pressing: then waiting for
 	// room is worse than the loss of somebody's work.
 	PreemptSlack = 6 * time.Second
