Rebuild quicker: unlisted machines are deleted, hiring goes on

Cause: after a wave of spot losses and a crash of all controllers a new leader waited a whole lease (14 s) for machines that were long gone, and rented none meanwhile. Now a machine that reported before, does not now, and is missing from the list is deleted, which is evidence, and the fleet is planned during the rebuild.

--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -249,6 +249,12 @@
 		}
 	}
 	for _, m := range s.fleet {
+		if !s.settled && !m.seen && m.mark != unmarked && !in[m.name] {
+			// It reported to an earlier leader, so it was listed once or is very new. Its deletion is the quickest
+			// evidence that nothing runs there.
+			s.remove(m, "not listed after the take-over")
+			continue
+		}
 		if in[m.name] || !m.listed {
 			m.missing = 0
 			continue
@@ -318,7 +324,7 @@
 	}
 	s.probe()
 	s.dropBroken()
-	if s.now >= s.planAt && s.settled && len(s.types) > 0 {
+	if s.now >= s.planAt && (s.settled || s.now > s.took+s.stale()) && len(s.types) > 0 {
 		s.planAt = s.now + limits.PlanEvery
 		s.plan()
 	}
@@ -500,7 +506,7 @@
 	}
 	s.drain()
 	for _, m := range s.fleet {
-		if m.deleting || !m.seen || m.wanted || len(m.binds) > 0 || !s.durable(m) || m.hire == "" {
+		if !s.settled || m.deleting || !m.seen || m.wanted || len(m.binds) > 0 || !s.durable(m) || m.hire == "" {
 			continue
 		}
 		idle := limits.IdleReturn
