--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -364,11 +364,7 @@
 		case scheduler.CountsOut:
 			eff.Ref.(chan scheduler.CountsOut) <- eff
 		case scheduler.Note:
-			if eff.Warn {
-				t.log.Warn(eff.Msg, eff.Args...)
-			} else {
-				t.log.Info(eff.Msg, eff.Args...)
-			}
+			t.log.Log(ctx, eff.Level, eff.Msg, eff.Args...)
 		}
 	}
 }
--- a/internal/coordination/scheduler/events.go
+++ b/internal/coordination/scheduler/events.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"log/slog"
 	"time"
 
 	"quillshunt/internal/protocol"
@@ -172,9 +173,9 @@
 
 // Note is something an operator may want to read.
 type Note struct {
-	Warn bool
-	Msg  string
-	Args []any
+	Level slog.Level
+	Msg   string
+	Args  []any
 }
 
 func (ReplyOut) effect()  {}
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -295,13 +295,14 @@
 	return !late && slack < limits.PreemptSlack
 }
 
-// mayStop is the protocol's rule of who may be stopped for whom.
+// mayStop is the protocol's rule of who may be stopped for whom, narrowed so that it has no circles: borrowed work of high priority does not
+// stop what another team's guarantee covers, as that could stop it in turn, and so on without end.
 func (s *Scheduler) mayStop(j *job, b *binding) bool {
 	if b.stop || b.phase == assigned || b.j == j {
 		return false
 	}
 	if b.j.urgency < j.urgency {
-		return true
+		return j.guar || !b.j.guar || b.j.team == j.team
 	}
 	return b.j.team != j.team && j.guar && !b.j.guar && b.j.team.borrows()
 }
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"sort"
 	"time"
 
@@ -322,6 +323,8 @@
 	case protocol.Running:
 		if b.phase != running {
 			b.phase, b.runAt = running, s.now
+			s.emit(Note{Level: slog.LevelDebug, Msg: "task running", Args: []any{"job", b.j.id, "class", b.j.spec.Docket, "task", b.idx, "machine", b.m.name,
+				"age", (s.now - b.j.at).Seconds(), "queued", (b.at - b.j.at).Seconds(), "fetch", (s.now - b.at).Seconds(), "gb", b.j.spec.SizeGb}})
 			b.m.images[b.j.spec.Bundle] = s.now
 		}
 	case protocol.Saving:
--- a/internal/coordination/scheduler/step.go
+++ b/internal/coordination/scheduler/step.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"log/slog"
 	"sort"
 	"time"
 
@@ -78,7 +79,11 @@
 func (s *Scheduler) emit(e Effect) { s.out = append(s.out, e) }
 
 func (s *Scheduler) note(warn bool, msg string, args ...any) {
-	s.emit(Note{Warn: warn, Msg: msg, Args: args})
+	level := slog.LevelInfo
+	if warn {
+		level = slog.LevelWarn
+	}
+	s.emit(Note{Level: level, Msg: msg, Args: args})
 }
 
 func (s *Scheduler) write(p pendingWrite, guards []protocol.Guard, ops []protocol.Op) {
