--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -697,7 +697,10 @@
 			}
 		}
 	}
-	if slack, late := s.slack(j); low > limits.DearRatio*floor && (late || slack > limits.DearSlack) {
+	if typ == nil {
+		return best, nil
+	}
+	if slack, late := s.slack(j); low > limits.DearRatio*floor && (late || slack > limits.DearSlack || slack < limits.Seconds(typ.StartupS)) {
 		return best, nil // it can wait for cheaper ones
 	}
 	return best, typ
