--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -700,7 +700,7 @@
 	if typ == nil {
 		return best, nil
 	}
-	if slack, late := s.slack(j); low > limits.DearRatio*floor && (late || slack > limits.DearSlack || slack < limits.Seconds(typ.StartupS)) {
+	if slack, late := s.slack(j); low > limits.DearRatio*floor && (late || slack > limits.DearSlack) {
 		return best, nil // it can wait for cheaper ones
 	}
 	return best, typ
