Tests of formats, records, election and single rules; two faults mended

A job whose one possible machine had failed it waited for ever, as the plan counted on that machine: it is planned without, and once a job fails everywhere any machine will do. A rebuild that is complete is noticed at once instead of with the next tick.

--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,56 @@
+package config
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+)
+
+const good = `{"node_name":"rig-0","zone":"z","client_listen":"10.0.0.1:8080","peer_bind":"10.0.0.1:8081","future":{"a":1},
+"members":[{"node_name":"rig-1","zone":"z","address":"10.0.0.2:8081"}],
+"external":{"cloud":"10.2.0.2:1","state":"10.2.0.1:2"},
+"facts":{"initial_size":2,"zones":["z"],"teams":[{"name":"t","cpus":1,"cpus_max":2,"gpus":0,"gpus_max":0}],
+"objectives":[{"kind":"finished","class":"c","within_s":10,"share":0.9}],
+"workers":{"report_s":1.5,"lease_s":14,"cancel_s":34},"state":{"rps":150,"write_rps":20,"value_kb":4,"txn_ops":8},
+"cloud":{"rps":3,"list_lag_s":4},"machine_limits":{"core_share":0.1,"memory_mb":98,"max_sockets":900},"skew_ms":100}}`
+
+func TestParse(t *testing.T) {
+	s, err := Parse([]byte(good))
+	if err != nil || s.NodeName != "rig-0" || s.Facts.Teams[0].CPUsMax != 2 || s.Facts.Machine.MaxSockets != 900 {
+		t.Fatalf("%+v %v", s, err)
+	}
+}
+
+// TestFieldNamed: whatever is wrong, the error is one line that names the field.
+func TestFieldNamed(t *testing.T) {
+	for field, value := range map[string]any{
+		"node_name": "", "client_listen": "here", "peer_bind": 7, "external.cloud": "", "external.state": "x:y",
+		"facts.workers.lease_s": 0, "facts.workers.report_s": -1, "facts.workers.cancel_s": "soon", "facts.state.rps": 0,
+		"facts.state.write_rps": nil, "facts.state.value_kb": 0, "facts.state.txn_ops": 1, "facts.cloud.rps": 0,
+		"facts.cloud.list_lag_s": -1, "facts.machine_limits.memory_mb": 0, "facts.machine_limits.max_sockets": 3, "facts.teams": []any{},
+	} {
+		var doc map[string]any
+		if err := json.Unmarshal([]byte(good), &doc); err != nil {
+			t.Fatal(err)
+		}
+		at := doc
+		path := strings.Split(field, ".")
+		for _, p := range path[:len(path)-1] {
+			at = at[p].(map[string]any)
+		}
+		at[path[len(path)-1]] = value
+		b, err := json.Marshal(doc)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = Parse(b)
+		if err == nil || !strings.Contains(err.Error(), field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s = %v: %v", field, value, err)
+		}
+	}
+	for _, b := range []string{"", "[]", "{", strings.Replace(good, "rig-1", "rig-0", 1)} {
+		if _, err := Parse([]byte(b)); err == nil {
+			t.Errorf("accepted %.20q", b)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/election/election_test.go
@@ -0,0 +1,256 @@
+package election
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quillshunt/internal/limits"
+	"quillshunt/internal/protocol"
+	"quillshunt/internal/standin"
+	"quillshunt/internal/storage"
+)
+
+// flaky is a node's view of the state service: it delays, refuses, and loses answers of requests that were, or later are, carried out.
+type flaky struct {
+	s     *standin.State
+	r     *rand.Rand
+	mu    sync.Mutex
+	alone time.Time // refused until then
+	lossy float64
+}
+
+func (f *flaky) enter(ctx context.Context) error {
+	f.mu.Lock()
+	d := time.Duration(1+f.r.IntN(20)) * time.Millisecond
+	if f.r.Float64() < 0.03 {
+		d = time.Duration(f.r.IntN(1400)) * time.Millisecond
+	}
+	refused := time.Now().Before(f.alone)
+	f.mu.Unlock()
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", storage.ErrUnclear, ctx.Err())
+	}
+	if refused || f.s.Down() {
+		return storage.ErrRefused
+	}
+	return nil
+}
+
+func (f *flaky) chance(p float64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.r.Float64() < p
+}
+
+func (f *flaky) Get(ctx context.Context, key string) (protocol.Pair, error) {
+	if err := f.enter(ctx); err != nil {
+		return protocol.Pair{}, err
+	}
+	p, _ := f.s.Get(key)
+	return p, nil
+}
+
+func (f *flaky) Txn(ctx context.Context, t protocol.Txn) (uint64, error) {
+	if err := f.enter(ctx); err != nil {
+		return 0, err
+	}
+	if f.chance(f.lossy) {
+		// No answer; it is applied some time later, or not at all.
+		if f.chance(0.7) {
+			f.mu.Lock()
+			d := time.Duration(f.r.IntN(40)) * time.Second
+			f.mu.Unlock()
+			time.AfterFunc(d, func() { f.s.Txn(t) })
+		}
+		return 0, storage.ErrUnclear
+	}
+	status, r := f.s.Txn(t)
+	switch {
+	case status == 400:
+		return 0, storage.ErrNoHold
+	case status == 409:
+		return 0, &storage.Conflict{Failed: r.Failed}
+	}
+	if f.chance(f.lossy) {
+		return 0, storage.ErrUnclear
+	}
+	return r.Ledger, nil
+}
+
+func (f *flaky) CreateHold(ctx context.Context, life time.Duration) (uint64, error) {
+	if err := f.enter(ctx); err != nil {
+		return 0, err
+	}
+	return f.s.CreateHold(life), nil
+}
+
+func (f *flaky) Touch(ctx context.Context, id uint64) error {
+	if err := f.enter(ctx); err != nil {
+		return err
+	}
+	if !f.s.Touch(id) {
+		return storage.ErrNoHold
+	}
+	return nil
+}
+
+func (f *flaky) Watch(ctx context.Context, prefix string, since uint64) (protocol.WatchReply, error) {
+	end := time.After(limits.WatchHold)
+	for {
+		r, _ := f.s.Changes(prefix, since)
+		if len(r.Log) > 0 && !f.s.Down() {
+			return r, nil
+		}
+		select {
+		case <-time.After(100 * time.Millisecond):
+		case <-end:
+			return r, nil
+		case <-ctx.Done():
+			return r, ctx.Err()
+		}
+	}
+}
+
+// node is a controller that crashes and comes back.
+type node struct {
+	name   string
+	store  *flaky
+	cancel context.CancelFunc
+	done   chan struct{}
+	mu     sync.Mutex
+	leads  *Mandate
+}
+
+func (n *node) start(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel, n.done = cancel, make(chan struct{})
+	e := New(n.name, n.store, limits.HoldLife, func(ctx context.Context, m *Mandate) {
+		n.mu.Lock()
+		n.leads = m
+		n.mu.Unlock()
+		<-ctx.Done()
+		n.mu.Lock()
+		n.leads = nil
+		n.mu.Unlock()
+	}, slog.New(slog.DiscardHandler))
+	go func() {
+		defer close(n.done)
+		e.Run(ctx)
+	}()
+}
+
+func (n *node) crash() {
+	n.cancel()
+	<-n.done
+}
+
+func (n *node) entitled() *Mandate {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.leads != nil && n.leads.Entitled() {
+		return n.leads
+	}
+	return nil
+}
+
+// TestOneEntitledLeader: at no time are two controllers entitled, terms rise, and after the trouble there is a leader again.
+func TestOneEntitledLeader(t *testing.T) {
+	for seed := range uint64(30) {
+		synctest.Test(t, func(t *testing.T) {
+			r := rand.New(rand.NewPCG(seed, 1))
+			s := standin.NewState()
+			var nodes []*node
+			for i := range 3 {
+				n := &node{name: fmt.Sprintf("rig-%d", i), store: &flaky{s: s, r: rand.New(rand.NewPCG(seed, uint64(10+i))), lossy: 0.1}}
+				n.start(t)
+				nodes = append(nodes, n)
+			}
+			var top uint64
+			check := func() {
+				var who []string
+				for _, n := range nodes {
+					if m := n.entitled(); m != nil {
+						who = append(who, fmt.Sprintf("%s in term %d", n.name, m.Term))
+						if m.Term < top {
+							t.Fatalf("seed %d: term %d after %d", seed, m.Term, top)
+						}
+						top = m.Term
+					}
+				}
+				if len(who) > 1 {
+					t.Fatalf("seed %d: entitled at once: %v", seed, who)
+				}
+			}
+			run := func(d time.Duration) {
+				for end := time.Now().Add(d); time.Now().Before(end); {
+					time.Sleep(50 * time.Millisecond)
+					check()
+				}
+			}
+			for range 25 {
+				n := nodes[r.IntN(3)]
+				switch r.IntN(4) {
+				case 0:
+					n.crash()
+					run(time.Duration(r.IntN(9000)) * time.Millisecond)
+					n.start(t)
+				case 1:
+					s.SetDown(true)
+					run(time.Duration(r.IntN(50)) * time.Second)
+					s.SetDown(false)
+				case 2:
+					n.store.mu.Lock()
+					n.store.alone = time.Now().Add(time.Duration(r.IntN(60)) * time.Second)
+					n.store.mu.Unlock()
+				}
+				run(time.Duration(r.IntN(20)) * time.Second)
+			}
+			for _, n := range nodes {
+				n.store.mu.Lock()
+				n.store.alone, n.store.lossy = time.Time{}, 0
+				n.store.mu.Unlock()
+			}
+			run(2 * limits.HoldLife)
+			led := false
+			for _, n := range nodes {
+				led = led || n.entitled() != nil
+			}
+			if !led {
+				t.Fatalf("seed %d: no leader after the trouble", seed)
+			}
+			for _, n := range nodes {
+				n.crash()
+			}
+			time.Sleep(2 * time.Minute) // late transactions
+		})
+	}
+}
+
+// TestRestartTakesOver: a controller that comes back under the leader's name does not wait for the hold to end.
+func TestRestartTakesOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewState()
+		n := &node{name: "rig-0", store: &flaky{s: s, r: rand.New(rand.NewPCG(1, 1))}}
+		n.start(t)
+		time.Sleep(3 * time.Second)
+		first := n.entitled()
+		if first == nil {
+			t.Fatal("no leader")
+		}
+		n.crash()
+		n.start(t)
+		time.Sleep(3 * time.Second)
+		if m := n.entitled(); m == nil || m.Term != first.Term+1 {
+			t.Fatalf("after a restart: %+v", m)
+		}
+		n.crash()
+	})
+}
--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -595,7 +595,7 @@
 			return
 		}
 		size := room{o.typ.Vcpus, o.typ.Accelerators, o.typ.RamGb}
-		if !size.holds(j.need) || !s.allows(j, o.p.kind, o.p.yard, o.p.spot) {
+		if !size.holds(j.need) || !s.allows(j, o.p.kind, o.p.yard, o.p.spot) || (o.m != nil && j.avoids(o.m)) {
 			continue
 		}
 		n -= o.take(j, n, est, max(horizon, o.ready+est))
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -126,7 +126,12 @@
 
 // allowed are the filters that no stopping of tasks can change.
 func (s *Scheduler) allowed(j *job, m *machine) bool {
-	return s.allows(j, m.kind, m.yard, m.spot) && m.size().holds(j.need) && !j.failOn[m.name]
+	return s.allows(j, m.kind, m.yard, m.spot) && m.size().holds(j.need) && !j.avoids(m)
+}
+
+// avoids tells whether a job goes elsewhere because the machine has failed it. Once it fails everywhere, any machine will do.
+func (j *job) avoids(m *machine) bool {
+	return j.failOn[m.name] && len(j.failOn) < limits.JobFaultMachines
 }
 
 func (s *Scheduler) allows(j *job, kind, yard string, spot bool) bool {
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -107,7 +107,6 @@
 	}
 	s.session(m, r)
 	s.strays(m, s.takeTasks(m, r, 0))
-	s.settle()
 }
 
 // old tells whether a message is older than what we know of a machine.
--- /dev/null
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -0,0 +1,296 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"quillshunt/internal/config"
+	"quillshunt/internal/limits"
+	"quillshunt/internal/protocol"
+	"quillshunt/internal/storage"
+)
+
+// TestCheapestVictims compares the chosen set with every set: up to the cutoff it is the cheapest; beyond, it covers what is
+// short and has no task that is not needed.
+func TestCheapestVictims(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(0, limits.VictimCutoff+4).Draw(t, "n")
+		options := make([]victim, n)
+		for i := range options {
+			options[i].need = room{float64(rapid.IntRange(0, 4).Draw(t, "cpu")), 0, float64(rapid.IntRange(0, 4).Draw(t, "ram"))}
+			options[i].loss = float64(rapid.IntRange(0, 50).Draw(t, "loss"))
+		}
+		short := room{float64(rapid.IntRange(-1, 8).Draw(t, "short")), 0, float64(rapid.IntRange(1, 8).Draw(t, "shortRam"))}
+		sum := func(set []int) (room, float64) {
+			var r room
+			loss := 0.0
+			for _, i := range set {
+				r, loss = r.plus(options[i].need), loss+options[i].loss
+			}
+			return r, loss
+		}
+		best := -1.0
+		for mask := range 1 << n {
+			var set []int
+			for i := range n {
+				if mask>>i&1 != 0 {
+					set = append(set, i)
+				}
+			}
+			if r, loss := sum(set); r.holds(short) && (best < 0 || loss < best) {
+				best = loss
+			}
+		}
+		got := cheapest(options, short)
+		if (got == nil) != (best < 0) {
+			t.Fatalf("got %v, best %v", got, best)
+		}
+		if got == nil {
+			return
+		}
+		r, loss := sum(got)
+		if !r.holds(short) || (n <= limits.VictimCutoff && loss > best) {
+			t.Fatalf("got %v: %+v loss %v, best %v, short %+v", got, r, loss, best, short)
+		}
+		for k := range got {
+			rest := append(append([]int(nil), got[:k]...), got[k+1:]...)
+			if r, _ := sum(rest); n > limits.VictimCutoff && r.holds(short) {
+				t.Fatalf("task %d of %v is not needed", got[k], got)
+			}
+		}
+	})
+}
+
+func TestRank(t *testing.T) {
+	var free, dearer, stops candidate
+	free.scores[weighPrice] = -5 // free room comes first, however dear
+	dearer.scores[weighOvercommit], dearer.scores[weighCost], dearer.scores[weighPrice] = -1, -20, -1
+	stops.scores[weighOvercommit], stops.scores[weighCost], stops.scores[weighPrice] = -1, -3, -4
+	if got := rank([]candidate{dearer, stops, free}); got != 2 {
+		t.Errorf("free room: %d", got)
+	}
+	if got := rank([]candidate{dearer, stops}); got != 1 {
+		t.Errorf("least loss: %d", got)
+	}
+	if got := rank([]candidate{stops, stops}); got != 0 {
+		t.Errorf("all equal: %d", got)
+	}
+	if got := rank(nil); got != -1 {
+		t.Errorf("none: %d", got)
+	}
+}
+
+// bed is one machine with a scheduler that leads, for single stories.
+type bed struct {
+	t     *testing.T
+	s     *Scheduler
+	now   time.Duration
+	out   []Effect
+	tally uint64
+	stamp uint64
+}
+
+func newBed(t *testing.T, machines int) *bed {
+	b := &bed{t: t, s: New(Config{Term: 3,
+		Teams:   []config.Team{{Name: "red", CPUs: 8, CPUsMax: 100}, {Name: "blue", CPUs: 8, CPUsMax: 100}},
+		Workers: config.Workers{ReportS: 2, LeaseS: 14, CancelS: 34}, State: config.State{ValueKB: 4, TxnOps: 8}}, 0)}
+	b.step(TypesDone{OK: true, Types: []protocol.Rigkind{{Sku: "s8", Vcpus: 8, RamGb: 32, PullGbPerS: 1, Price: 1, MarketPrice: 1, StartupS: 5, Yards: []string{"a"}}}})
+	h := storage.Hire{Rigkind: "s8", Yard: "a", Number: machines, Answered: true}
+	for i := range machines {
+		h.Rigs = append(h.Rigs, b.rig(i))
+		h.Up = append(h.Up, storage.Up{Rig: b.rig(i), Address: "x:1"})
+	}
+	b.step(HireLoaded{Name: "h-1-1", Stamp: 1, Rec: h})
+	b.step(Loaded{})
+	return b
+}
+
+func (b *bed) rig(i int) string { return fmt.Sprintf("m-%d", i) }
+
+func (b *bed) step(e Event) []Effect {
+	b.now += 10 * time.Millisecond
+	b.out = b.s.Step(e, b.now)
+	return b.out
+}
+
+// report sends a report and returns the orders.
+func (b *bed) report(i int, tasks ...protocol.TaskReport) []protocol.Order {
+	b.tally++
+	for _, e := range b.step(ReportIn{Entitled: true, Report: &protocol.Report{Rig: b.rig(i), Address: "x:1", Rigkind: "s8", Yard: "a",
+		Shift: 1, Tally: b.tally, Baton: 3, Pieces: tasks}}) {
+		if r, ok := e.(ReplyOut); ok && r.OK {
+			return r.Orders
+		}
+	}
+	b.t.Fatalf("report not answered: %+v", b.out)
+	return nil
+}
+
+func (b *bed) job(id, team, urgency string, pieces int, cpus float64, due float64) {
+	b.stamp++
+	b.step(JobSeen{ID: id, Stamp: 100 + b.stamp, Rec: storage.Open{Spec: protocol.Spec{NameId: id, Docket: "c", Crew: team, Shape: "sweep",
+		Urgency: urgency, Pieces: pieces, Vcpus: cpus, RamGb: 1, Bundle: "i", ReckonS: 10, DueS: due}}})
+}
+
+// starts collects the starts of direct commands among the effects, and answers nothing.
+func (b *bed) direct() []DirectOut {
+	var out []DirectOut
+	for _, e := range b.out {
+		if d, ok := e.(DirectOut); ok {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+func verbs(orders []protocol.Order, verb string) int {
+	n := 0
+	for _, o := range orders {
+		if o.Verb == verb {
+			n++
+		}
+	}
+	return n
+}
+
+// TestForgetAfterDurable: a result is forgotten by its worker only once it is written down.
+func TestForgetAfterDurable(t *testing.T) {
+	b := newBed(t, 1)
+	b.report(0)
+	b.job("job-1", "red", "standard", 2, 1, 0)
+	d := b.direct()
+	if len(d) != 1 || verbs(d[0].Orders, protocol.VerbStart) != 2 {
+		t.Fatalf("starts: %+v", b.out)
+	}
+	done := protocol.TaskReport{Piece: "job-1/0", Try: d[0].Orders[0].Try, Standing: protocol.Ended, Cause: protocol.CauseDone}
+	other := protocol.TaskReport{Piece: "job-1/1", Try: d[0].Orders[1].Try, Standing: protocol.Running}
+	if orders := b.report(0, done, other); verbs(orders, protocol.VerbForget) != 0 {
+		t.Fatalf("forgotten at once: %+v", orders)
+	}
+	b.now += 5 * time.Second
+	var w *WriteOut
+	for _, e := range b.step(Tick{Entitled: true}) {
+		if x, ok := e.(WriteOut); ok && x.Ops[0].Write == storage.FinKey("job-1", 0) {
+			w = &x
+		}
+	}
+	if w == nil {
+		t.Fatalf("result not written: %+v", b.out)
+	}
+	if orders := b.report(0, done, other); verbs(orders, protocol.VerbForget) != 0 {
+		t.Fatalf("forgotten while the write is under way: %+v", orders)
+	}
+	b.step(WriteDone{ID: w.ID, OK: true, Rev: 500})
+	if orders := b.report(0, done, other); verbs(orders, protocol.VerbForget) != 1 {
+		t.Fatalf("not forgotten: %+v", orders)
+	}
+}
+
+// TestMarkBeforeStart: a machine gets its first task only once the state service knows that it may have one; otherwise a
+// new leader would not look for it there.
+func TestMarkBeforeStart(t *testing.T) {
+	b := newBed(t, 0)
+	b.job("job-1", "red", "standard", 1, 1, 0)
+	b.step(HireLoaded{Name: "h-2-1", Stamp: 7, Rec: storage.Hire{Rigkind: "s8", Yard: "a", Number: 1, Answered: true, Rigs: []string{b.rig(0)}}})
+	orders := b.report(0)
+	var mark *WriteOut
+	for _, e := range b.out {
+		if w, ok := e.(WriteOut); ok && w.Ops[0].Write == storage.HireKey("h-2-1") {
+			mark = &w
+		}
+	}
+	if mark == nil || verbs(orders, protocol.VerbStart) != 0 || len(b.direct()) != 0 {
+		t.Fatalf("before the mark: %+v %+v", orders, b.out)
+	}
+	b.step(WriteDone{ID: mark.ID, OK: true, Rev: 9})
+	if d := b.direct(); len(d) != 1 || verbs(d[0].Orders, protocol.VerbStart) != 1 {
+		t.Fatalf("after the mark: %+v", b.out)
+	}
+}
+
+// TestDirectAnswerIsNoEvidence: a start that went out in the answer to a report may still be on its way when a direct command is
+// answered; only the next report shows that it is lost.
+func TestDirectAnswerIsNoEvidence(t *testing.T) {
+	b := newBed(t, 1)
+	b.report(0)
+	m := b.s.machines[b.rig(0)]
+	m.mute = time.Hour // orders go with reports only
+	b.job("job-1", "red", "standard", 1, 1, 0)
+	if n := verbs(b.report(0), protocol.VerbStart); n != 1 {
+		t.Fatalf("%d starts", n)
+	}
+	m.mute, m.directID = 0, 77
+	b.tally++
+	b.step(DirectDone{ID: 77, Rig: m.name, Report: &protocol.Report{Rig: m.name, Address: "x:1", Rigkind: "s8", Yard: "a", Shift: 1, Tally: b.tally, Baton: 3}})
+	if len(m.binds) != 1 {
+		t.Fatal("freed by the answer to a direct command")
+	}
+	m.mute = time.Hour
+	if n := verbs(b.report(0), protocol.VerbStart); n != 1 || len(m.binds) != 1 {
+		t.Fatalf("not placed again after a report without it: %d starts", n)
+	}
+}
+
+// TestNoCircles: where one task may be stopped for another, the other may not be stopped for it. Without this, borrowed work of high priority
+// and guaranteed work of another team stopped each other for ever.
+func TestNoCircles(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &Scheduler{}
+		teams := []*team{{cfg: config.Team{CPUs: 1}, used: room{cpu: 5}}, {cfg: config.Team{CPUs: 9}, used: room{cpu: 5}}}
+		draw := func(name string) *binding {
+			return &binding{phase: running, j: &job{team: teams[rapid.IntRange(0, 1).Draw(t, name+" team")],
+				urgency: protocol.Urgency(rapid.IntRange(0, 3).Draw(t, name+" urgency")), guar: rapid.Bool().Draw(t, name+" guaranteed")}}
+		}
+		x, y := draw("x"), draw("y")
+		if s.mayStop(x.j, y) && s.mayStop(y.j, x) {
+			t.Fatal("circle")
+		}
+	})
+}
+
+// TestDeletionConfirmed: tasks of a machine that is being returned stay bound until the cloud confirms it.
+func TestDeletionConfirmed(t *testing.T) {
+	b := newBed(t, 1)
+	b.report(0)
+	b.job("job-1", "red", "standard", 1, 1, 0)
+	m := b.s.machines[b.rig(0)]
+	b.s.remove(m, "test")
+	b.step(Tick{Entitled: true})
+	b.step(DeleteDone{Rigs: []string{m.name}})
+	if len(m.binds) != 1 || b.s.machines[m.name] == nil {
+		t.Fatal("freed by a deletion that was not confirmed")
+	}
+	b.step(DeleteDone{Rigs: []string{m.name}, OK: true})
+	if len(m.binds) != 0 || b.s.machines[m.name] != nil {
+		t.Fatal("not freed")
+	}
+}
+
+// TestHugeJob: a job of the largest size is placed, recorded in chunks below the value limit, and finished.
+func TestHugeJob(t *testing.T) {
+	b := newBed(t, 2)
+	b.report(0)
+	b.report(1)
+	b.job("job-1", "red", "standard", limits.MaxPieces, 0.01, 0)
+	j := b.s.jobs["job-1"]
+	if len(j.bound) == 0 || len(j.chunks) < 2 {
+		t.Fatalf("%d bound, %d chunks", len(j.bound), len(j.chunks))
+	}
+	for i := range limits.MaxPieces {
+		if j.bound[i] == nil {
+			b.s.taskDone(j, i)
+		}
+	}
+	b.now += 4 * time.Second
+	for _, e := range b.step(Tick{Entitled: true}) {
+		if w, ok := e.(WriteOut); ok && len(w.Ops) > 8 {
+			t.Fatalf("%d operations", len(w.Ops))
+		}
+	}
+	if got := j.free(); got != 0 {
+		t.Fatalf("%d free", got)
+	}
+}
--- a/internal/coordination/scheduler/step.go
+++ b/internal/coordination/scheduler/step.go
@@ -48,7 +48,7 @@
 		s.hireLoaded(e)
 	case Loaded:
 		s.note(false, "rebuilding", "jobs", len(s.jobs), "machines", len(s.machines), "hires", len(s.hires))
-		s.typesAt, s.listAt = 0, 0
+		s.loaded, s.typesAt, s.listAt = true, 0, 0
 		s.tick(true)
 	case ReportIn:
 		s.reportIn(e)
@@ -71,6 +71,9 @@
 	case Tick:
 		s.tick(e.Entitled)
 	}
+	if s.loaded && !s.settled {
+		s.settle()
+	}
 	s.place()
 	s.dispatch()
 	return s.out
@@ -367,9 +370,6 @@
 			m.deadShift = 0 // we do not know which session it was in; see settle
 		}
 	}
-	if !s.settled {
-		s.settle()
-	}
 }
 
 // stale is how long a machine may be silent and still get tasks.
--- /dev/null
+++ b/internal/layers_test.go
@@ -0,0 +1,61 @@
+// Package internal_test checks the layout of the project.
+package internal_test
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// layer orders the packages; a package imports only from layers below its own. Inside coordination the order is that of the list.
+var layer = map[string]int{
+	"limits": 0, "config": 1, "transport": 2, "protocol": 3, "storage": 4,
+	"coordination/peer/peerpb": 5, "coordination/peer": 6, "coordination/election": 6, "coordination/scheduler": 6,
+	"coordination/leader": 7, "coordination/gateway": 8,
+	"standin": 4, // stand-ins of outside services, for tests and the quick start
+}
+
+func TestImportsGoDownward(t *testing.T) {
+	seen := map[string]bool{}
+	err := filepath.WalkDir(".", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		pkg := filepath.ToSlash(filepath.Dir(path))
+		own, ok := layer[pkg]
+		if !ok {
+			t.Errorf("%s: package is in no layer", pkg)
+			return nil
+		}
+		seen[pkg] = true
+		f, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ImportsOnly)
+		if err != nil {
+			return err
+		}
+		for _, im := range f.Imports {
+			name, err := strconv.Unquote(im.Path.Value)
+			if err != nil {
+				return err
+			}
+			if rest, ours := strings.CutPrefix(name, "quillshunt/internal/"); ours && layer[rest] >= own {
+				t.Errorf("%s imports %s", path, rest)
+			}
+			if pkg == "coordination/scheduler" && (name == "time" || name == "net" || name == "math/rand/v2") && name != "time" {
+				t.Errorf("%s imports %s: the scheduler is deterministic", path, name)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for pkg := range layer {
+		if !seen[pkg] {
+			t.Errorf("%s: no such package", pkg)
+		}
+	}
+}
--- /dev/null
+++ b/internal/protocol/protocol_test.go
@@ -0,0 +1,107 @@
+package protocol
+
+import (
+	"errors"
+	"math"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"quillshunt/internal/limits"
+)
+
+func goodRun() map[string]any {
+	return map[string]any{
+		"NameId": "job-000412", "Docket": "train", "Crew": "vision", "Shape": "sweep", "Urgency": "high", "Pieces": 16,
+		"Vcpus": 8.0, "Accelerators": 1.0, "RamGb": 64.0, "Bundle": "img-07", "SizeGb": 6.2,
+		"Rigkinds": []string{"g8"}, "Yard": nil, "Together": true, "Scatter": false, "Lendable": true,
+		"ReckonS": 240.0, "BookmarkS": 30.0, "StashS": 4.0, "DueS": 900.0,
+	}
+}
+
+func TestSpecAccepted(t *testing.T) {
+	run := goodRun()
+	want, err := ParseSpec(Encode(run))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want.Pieces != 16 || want.RamGb != 64 || want.DueS != 900 || !want.Together || len(want.Rigkinds) != 1 {
+		t.Fatalf("%+v", want)
+	}
+	// Whole numbers where amounts are due, unknown fields, and null or omitted alike.
+	run["Vcpus"], run["DueS"], run["Extra"] = 8, 900, map[string]any{"a": []int{1}}
+	delete(run, "Yard")
+	got, err := ParseSpec(Encode(run))
+	if err != nil || got.Vcpus != 8 || got.DueS != 900 || got.Yard != "" {
+		t.Fatalf("%+v %v", got, err)
+	}
+	run["Rigkinds"], run["DueS"] = nil, nil
+	if got, err = ParseSpec(Encode(run)); err != nil || got.Rigkinds != nil || got.DueS != 0 {
+		t.Fatalf("%+v %v", got, err)
+	}
+}
+
+// TestSpecRefused breaks one field of a good submission at a time.
+func TestSpecRefused(t *testing.T) {
+	long := strings.Repeat("n", limits.MaxNameBytes+1)
+	bad := map[string][]any{
+		"NameId": {nil, 7, "", "job-", "job-12x", "run-1", "job-1/2", long}, "Docket": {nil, 1, "", long}, "Crew": {nil, false, ""},
+		"Shape": {nil, "ensemble", "service", 1}, "Urgency": {nil, "urgent", 2},
+		"Pieces": {nil, 0, -1, limits.MaxPieces + 1, 1.5, "1", uint64(math.MaxUint64)},
+		"Vcpus":  {nil, -1, math.NaN(), math.Inf(1), "4", true}, "Accelerators": {nil, -0.5}, "RamGb": {nil, math.Inf(-1)},
+		"Bundle": {nil, "", long}, "SizeGb": {nil, math.NaN()}, "Rigkinds": {"g8", []any{1}, []any{""}, []any{long}, 3},
+		"Yard": {1, "", long}, "Together": {nil, 1}, "Scatter": {nil, "no"}, "Lendable": {nil, 0},
+		"ReckonS": {nil, -1, "x"}, "BookmarkS": {nil, -1}, "StashS": {nil, math.NaN()}, "DueS": {-1, math.Inf(1), "soon"},
+	}
+	for field, values := range bad {
+		for _, v := range values {
+			run := goodRun()
+			run[field] = v
+			if _, err := ParseSpec(Encode(run)); !errors.Is(err, ErrInvalid) {
+				t.Errorf("%s = %v: %v", field, v, err)
+			}
+		}
+	}
+	good := Encode(goodRun())
+	for name, b := range map[string][]byte{
+		"empty": {}, "null": Encode(nil), "list": Encode([]int{1}), "text": Encode("x"), "number": Encode(4),
+		"trailing bytes": append(append([]byte(nil), good...), 0), "cut short": good[:len(good)-1],
+		"number as key": Encode(map[int]int{1: 2}), "not CBOR": []byte("{\"NameId\":1}"),
+		"same key twice": {0xa2, 0x61, 'a', 1, 0x61, 'a', 2},
+	} {
+		if _, err := ParseSpec(b); !errors.Is(err, ErrInvalid) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+func TestPieceNames(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		id := rapid.StringMatching(`job-[0-9]{1,12}`).Draw(t, "id")
+		n := rapid.IntRange(0, limits.MaxPieces-1).Draw(t, "n")
+		if j, i, ok := ParsePiece(PieceName(id, n)); !ok || j != id || i != n {
+			t.Fatalf("%s %d: %s %d %v", id, n, j, i, ok)
+		}
+	})
+	for _, s := range []string{"", "job-1", "job-1/", "job-1/01", "job-1/-1", "job-1/1x", "job-x/1", "job-1/1234567", "/1"} {
+		if _, _, ok := ParsePiece(s); ok {
+			t.Errorf("%q parsed", s)
+		}
+	}
+}
+
+func FuzzParseSpec(f *testing.F) {
+	f.Add(Encode(goodRun()))
+	f.Add([]byte{0xa0})
+	f.Add([]byte{0xbf, 0x61, 'a', 0xf9, 0x7e, 0, 0xff})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s, err := ParseSpec(b)
+		if err != nil {
+			return
+		}
+		if s.Pieces < 1 || s.Pieces > limits.MaxPieces || !ValidJobID(s.NameId) || !(s.Vcpus >= 0) || s.Shape != "sweep" {
+			t.Fatalf("accepted %+v", s)
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,301 @@
+// Package standin holds small stand-ins of the services that quillshunt depends on, written from the published
+// protocol. The tests use them, and the quick start of the README.
+package standin
+
+import (
+	"log/slog"
+	"net/url"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"quillshunt/internal/protocol"
+	"quillshunt/internal/transport"
+)
+
+// State is a stand-in of the state service.
+type State struct {
+	mu     sync.Mutex
+	now    func() time.Time
+	keys   map[string]protocol.Pair
+	ledger uint64
+	log    []protocol.Change
+	holds  map[uint64]hold
+	nextID uint64
+	down   bool
+	waits  map[chan struct{}]bool
+}
+
+type hold struct {
+	life time.Duration
+	ends time.Time
+}
+
+// NewState returns an empty State.
+func NewState() *State {
+	return &State{now: time.Now, keys: map[string]protocol.Pair{}, holds: map[uint64]hold{}, waits: map[chan struct{}]bool{}}
+}
+
+// SetDown starts or ends an outage. After one, all holds have their full time again.
+func (s *State) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	s.down = down
+	for id, h := range s.holds {
+		h.ends = s.now().Add(h.life)
+		s.holds[id] = h
+	}
+}
+
+// expire ends holds that were not renewed. The caller has the lock.
+func (s *State) expire() {
+	if s.down {
+		return
+	}
+	for id, h := range s.holds {
+		if !s.now().Before(h.ends) {
+			s.endHold(id)
+		}
+	}
+}
+
+func (s *State) endHold(id uint64) {
+	delete(s.holds, id)
+	var gone []string
+	for k, p := range s.keys {
+		if p.Tenure == id {
+			gone = append(gone, k)
+		}
+	}
+	if len(gone) == 0 {
+		return
+	}
+	sort.Strings(gone)
+	s.ledger++
+	for _, k := range gone {
+		delete(s.keys, k)
+		s.log = append(s.log, protocol.Change{Remove: k, Stamp: s.ledger})
+	}
+	s.wake()
+}
+
+func (s *State) wake() {
+	for c := range s.waits {
+		close(c)
+	}
+	clear(s.waits)
+}
+
+// Get reads a key.
+func (s *State) Get(key string) (protocol.Pair, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	p, ok := s.keys[key]
+	return p, ok
+}
+
+// Txn carries out a transaction: 200, 400 or 409.
+func (s *State) Txn(t protocol.Txn) (int, protocol.TxnReply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	for _, op := range t.Apply {
+		if op.Tenure != 0 {
+			if _, ok := s.holds[op.Tenure]; !ok {
+				return 400, protocol.TxnReply{}
+			}
+		}
+	}
+	r := protocol.TxnReply{Ledger: s.ledger, Failed: []string{}}
+	for _, g := range t.Guards {
+		if s.keys[g.Path].Stamp != g.Stamp {
+			r.Failed = append(r.Failed, g.Path)
+		}
+	}
+	if len(r.Failed) > 0 {
+		return 409, r
+	}
+	if len(t.Apply) > 0 {
+		s.ledger++
+		for _, op := range t.Apply {
+			if op.Remove != "" {
+				delete(s.keys, op.Remove)
+				s.log = append(s.log, protocol.Change{Remove: op.Remove, Stamp: s.ledger})
+				continue
+			}
+			s.keys[op.Write] = protocol.Pair{Path: op.Write, Data: op.Data, Stamp: s.ledger, Tenure: op.Tenure}
+			s.log = append(s.log, protocol.Change{Write: op.Write, Data: op.Data, Stamp: s.ledger})
+		}
+		s.wake()
+	}
+	r.Ledger = s.ledger
+	return 200, r
+}
+
+// List returns the keys with a prefix after since, and whether there are more.
+func (s *State) List(prefix, since string, limit int) protocol.Listing {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	l := protocol.Listing{Ledger: s.ledger, Pairs: []protocol.Pair{}}
+	var names []string
+	for k := range s.keys {
+		if strings.HasPrefix(k, prefix) && k > since {
+			names = append(names, k)
+		}
+	}
+	sort.Strings(names)
+	for _, k := range names {
+		if len(l.Pairs) == limit {
+			l.Truncated = true
+			break
+		}
+		l.Pairs = append(l.Pairs, s.keys[k])
+	}
+	return l
+}
+
+// CreateHold makes a hold.
+func (s *State) CreateHold(life time.Duration) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	s.nextID++
+	s.holds[s.nextID] = hold{life: life, ends: s.now().Add(life)}
+	return s.nextID
+}
+
+// Touch renews a hold; it returns false if there is none.
+func (s *State) Touch(id uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	h, ok := s.holds[id]
+	if ok {
+		h.ends = s.now().Add(h.life)
+		s.holds[id] = h
+	}
+	return ok
+}
+
+// EndHold ends a hold at once.
+func (s *State) EndHold(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.holds[id]; ok {
+		s.endHold(id)
+	}
+}
+
+// Changes returns what happened to keys with a prefix after a revision, and a channel that closes at the next change.
+func (s *State) Changes(prefix string, since uint64) (protocol.WatchReply, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	r := protocol.WatchReply{Ledger: s.ledger, Log: []protocol.Change{}}
+	for _, c := range s.log {
+		if c.Stamp > since && strings.HasPrefix(c.Write+c.Remove, prefix) {
+			r.Log = append(r.Log, c)
+		}
+	}
+	next := make(chan struct{})
+	s.waits[next] = true
+	return r, next
+}
+
+// Down tells whether there is an outage.
+func (s *State) Down() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
+// Server serves the state service on an address.
+func (s *State) Server(addr string, log *slog.Logger) *transport.Server {
+	return &transport.Server{Addr: addr, MaxConns: 1000, Handle: s.handle, Log: log}
+}
+
+func (s *State) handle(req *transport.Message, rsp *transport.Responder) {
+	if s.Down() && !strings.HasPrefix(req.Path, "/watch") {
+		rsp.Respond(503, nil, 0)
+		return
+	}
+	q, err := url.ParseQuery(req.Query)
+	if err != nil {
+		rsp.Respond(400, nil, 0)
+		return
+	}
+	number := func(name string) uint64 {
+		n, _ := strconv.ParseUint(q.Get(name), 10, 64)
+		return n
+	}
+	switch path := req.Path; {
+	case path == "/kv":
+		limit := int(number("Limit"))
+		if limit == 0 || limit > 1000 {
+			limit = 1000
+		}
+		rsp.Respond(200, protocol.Encode(s.List(q.Get("Starts"), q.Get("Since"), limit)), 0)
+	case strings.HasPrefix(path, "/kv/"):
+		p, ok := s.Get(path[len("/kv/"):])
+		if !ok {
+			rsp.Respond(404, protocol.Encode(map[string]uint64{"Ledger": s.List("", "", 1).Ledger}), 0)
+			return
+		}
+		rsp.Respond(200, protocol.Encode(p), 0)
+	case path == "/txn":
+		var t protocol.Txn
+		if err := protocol.Decode(req.Body, &t); err != nil {
+			rsp.Respond(400, nil, 0)
+			return
+		}
+		status, r := s.Txn(t)
+		rsp.Respond(status, protocol.Encode(r), 0)
+	case path == "/holds":
+		var h protocol.HoldRequest
+		if err := protocol.Decode(req.Body, &h); err != nil || h.LifeMs < 100 {
+			rsp.Respond(400, nil, 0)
+			return
+		}
+		rsp.Respond(200, protocol.Encode(protocol.HoldReply{Tenure: s.CreateHold(time.Duration(h.LifeMs) * time.Millisecond)}), 0)
+	case strings.HasPrefix(path, "/holds/"):
+		id, err := strconv.ParseUint(strings.TrimSuffix(path[len("/holds/"):], "/touch"), 10, 64)
+		if err != nil {
+			rsp.Respond(400, nil, 0)
+			return
+		}
+		if req.Method == "DELETE" {
+			s.EndHold(id)
+		} else if !s.Touch(id) {
+			rsp.Respond(404, nil, 0)
+			return
+		}
+		rsp.Respond(200, nil, 0)
+	case path == "/watch":
+		go s.watch(q.Get("Starts"), number("Since"), time.Duration(number("HoldMs"))*time.Millisecond, rsp)
+	default:
+		rsp.Respond(404, nil, 0)
+	}
+}
+
+func (s *State) watch(prefix string, since uint64, wait time.Duration, rsp *transport.Responder) {
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	for {
+		r, next := s.Changes(prefix, since)
+		if len(r.Log) > 0 && !s.Down() {
+			rsp.Respond(200, protocol.Encode(r), 0)
+			return
+		}
+		select {
+		case <-next:
+		case <-end.C:
+			rsp.Respond(200, protocol.Encode(r), 0)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/storage/records_test.go
@@ -0,0 +1,64 @@
+package storage
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"quillshunt/internal/protocol"
+)
+
+// TestFinRoundTrip: chunks carry exactly the finished tasks, whatever the chunk size, and keep to the value limit.
+func TestFinRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		kb := rapid.SampledFrom([]float64{0.25, 1, 4, 8}).Draw(t, "kb")
+		size := ChunkTasks(kb)
+		tasks := rapid.IntRange(1, 100_000).Draw(t, "tasks")
+		bits := make([]uint64, (tasks+63)/64)
+		want := map[int]bool{}
+		for range rapid.IntRange(0, 200).Draw(t, "done") {
+			i := rapid.IntRange(0, tasks-1).Draw(t, "i")
+			bits[i/64] |= 1 << (i % 64)
+			want[i] = true
+		}
+		if rapid.Bool().Draw(t, "all") {
+			for i := range tasks {
+				bits[i/64] |= 1 << (i % 64)
+				want[i] = true
+			}
+		}
+		got := map[int]bool{}
+		for base := 0; base < tasks; base += size {
+			f := EncodeFin(bits, base, size)
+			if !Fits(f, kb) {
+				t.Fatalf("chunk of %d tasks does not fit %v KiB", size, kb)
+			}
+			var back Fin
+			if err := protocol.Decode(protocol.Encode(f), &back); err != nil {
+				t.Fatal(err)
+			}
+			if err := back.Decode(func(i int) { got[i] = true }); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if len(got) != len(want) {
+			t.Fatalf("%d of %d", len(got), len(want))
+		}
+		for i := range want {
+			if !got[i] {
+				t.Fatalf("task %d lost", i)
+			}
+		}
+	})
+}
+
+func TestFinKey(t *testing.T) {
+	if id, base, ok := ParseFinKey(FinKey("job-7", 4096)); !ok || id != "job-7" || base != 4096 {
+		t.Fatal(id, base, ok)
+	}
+	for _, k := range []string{"open/job-7", "fin/job-7", "fin/job-7/x"} {
+		if _, _, ok := ParseFinKey(k); ok {
+			t.Errorf("%q parsed", k)
+		}
+	}
+}
