--- a/internal/coordination/scheduler/model.go
+++ b/internal/coordination/scheduler/model.go
@@ -324,8 +324,8 @@
 	writeSeq uint64
 	sendSeq  uint64 // of direct commands
 	dirty    bool   // something changed that placement looks at
-	loaded   bool // all that earlier terms wrote down is known
-	settled  bool // and all that may run; see settle
+	loaded   bool   // all that earlier terms wrote down is known
+	settled  bool   // and all that may run; see settle
 	planAt   time.Duration
 	listAt   time.Duration
 	sumAt    time.Duration
