--- a/cmd/quillshunt/root.go
+++ b/cmd/quillshunt/root.go
@@ -14,7 +14,7 @@
 const version = "0.1.0"
 
 func newRoot() *cobra.Command {
-	var settingsPath string
+	var settingsPath, optionsPath string
 	root := &cobra.Command{
 		Use:   "quillshunt --config FILE",
 		Short: "A cluster scheduler for preemptible work on rented machines",
@@ -34,10 +34,15 @@
 			if err != nil {
 				return err
 			}
-			return serve(cmd.Context(), s, log)
+			o, err := config.LoadOptions(optionsPath)
+			if err != nil {
+				return err
+			}
+			return serve(cmd.Context(), s, o, log)
 		},
 	}
 	root.Flags().StringVar(&settingsPath, "config", "", "settings file of this controller (JSON)")
+	root.Flags().StringVar(&optionsPath, "options", os.Getenv("QUILLSHUNT_OPTIONS"), "operators' options (TOML); also by QUILLSHUNT_OPTIONS")
 	if err := root.MarkFlagRequired("config"); err != nil {
 		panic(err) // the flag is defined above
 	}
@@ -48,19 +53,25 @@
 }
 
 func newCheck() *cobra.Command {
-	return &cobra.Command{
+	var optionsPath string
+	check := &cobra.Command{
 		Use:   "check FILE",
-		Short: "Check a settings file",
+		Short: "Check a settings file, and operators' options",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			s, err := config.Load(args[0])
 			if err != nil {
 				return err
 			}
+			if _, err := config.LoadOptions(optionsPath); err != nil {
+				return err
+			}
 			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: ok, controller %s of %d\n", args[0], s.NodeName, len(s.Members)+1)
 			return err
 		},
 	}
+	check.Flags().StringVar(&optionsPath, "options", "", "operators' options (TOML)")
+	return check
 }
 
 func newVersion() *cobra.Command {
--- a/cmd/quillshunt/serve.go
+++ b/cmd/quillshunt/serve.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"runtime"
 	"runtime/debug"
+	"time"
 
 	// The program is linked against the system's C library, which package net brings in by its resolver.
 	_ "net"
@@ -20,7 +21,7 @@
 )
 
 // serve runs a controller until a part of it fails for good or the context ends.
-func serve(ctx context.Context, s *config.Settings, log *slog.Logger) error {
+func serve(ctx context.Context, s *config.Settings, options config.Options, log *slog.Logger) error {
 	if ctx == nil {
 		ctx = context.Background()
 	}
@@ -31,8 +32,8 @@
 	runtime.GOMAXPROCS(limits.Procs)
 
 	store := storage.New(s.External.State, s.Facts.State, len(s.Members)+1)
-	desk := leader.NewDesk(s, store, leader.NewCloud(s.External.Cloud, s.Facts.Cloud.RPS), log)
-	elector := election.New(s.NodeName, store, limits.HoldLife, desk.Lead, log)
+	desk := leader.NewDesk(s, options, store, leader.NewCloud(s.External.Cloud, s.Facts.Cloud.RPS), log)
+	elector := election.New(s.NodeName, store, time.Duration(options.Leadership.HoldLife), desk.Lead, log)
 	desk.OnLost(elector.Lost)
 	peers, err := peer.Dial(s.Members)
 	if err != nil {
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -27,6 +27,7 @@
 // Desk is where messages for the present term are left. It outlives terms.
 type Desk struct {
 	settings *config.Settings
+	options  config.Options
 	store    *storage.Store
 	cloud    *Cloud
 	log      *slog.Logger
@@ -35,8 +36,8 @@
 }
 
 // NewDesk returns a Desk.
-func NewDesk(settings *config.Settings, store *storage.Store, cloud *Cloud, log *slog.Logger) *Desk {
-	return &Desk{settings: settings, store: store, cloud: cloud, log: log, lost: func(uint64) {}}
+func NewDesk(settings *config.Settings, options config.Options, store *storage.Store, cloud *Cloud, log *slog.Logger) *Desk {
+	return &Desk{settings: settings, options: options, store: store, cloud: cloud, log: log, lost: func(uint64) {}}
 }
 
 // OnLost sets who is told that a term was found to be over.
@@ -142,7 +143,7 @@
 	}
 	t.sched = scheduler.New(scheduler.Config{
 		Term: m.Term, Teams: f.Teams, Objectives: f.Objectives, Workers: f.Workers, State: f.State,
-		ListLag: limits.Seconds(f.Cloud.ListLagS),
+		ListLag: limits.Seconds(f.Cloud.ListLagS), Options: d.options,
 	}, 0)
 	d.store.SetLeader(true)
 	defer d.store.SetLeader(false)
--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -499,7 +499,7 @@
 		if n == 0 && total == 0 {
 			n = 1
 		}
-		if n = min(n, limits.FleetMax-total); n > 0 {
+		if n = min(n, s.cfg.Options.Fleet.MaxMachines-total); n > 0 {
 			total += n
 			s.hireMachines(p, n)
 		}
@@ -509,7 +509,7 @@
 		if !s.settled || m.deleting || !m.seen || m.wanted || len(m.binds) > 0 || !s.durable(m) || m.hire == "" {
 			continue
 		}
-		idle := limits.IdleReturn
+		idle := time.Duration(s.cfg.Options.Fleet.IdleReturn)
 		if m.drain {
 			idle = limits.DrainReturn
 		}
@@ -538,7 +538,7 @@
 			waiting += float64(j.free()) * j.need.cpu
 		}
 	}
-	surplus := total - (used+waiting)*(1+limits.DrainHeadroom)
+	surplus := total - (used+waiting)*(1+s.cfg.Options.Fleet.Headroom)
 	perCPU := func(m *machine) float64 { return m.price() / max(m.size().cpu, 1) }
 	sort.SliceStable(ms, func(a, b int) bool {
 		x, y := ms[a], ms[b]
@@ -572,9 +572,9 @@
 
 // horizon is the time in which a job's backlog should be worked off: its run time and a share of what it can wait.
 func (s *Scheduler) horizon(j *job) float64 {
-	wait := limits.PlanHorizon.Seconds()
+	wait := time.Duration(s.cfg.Options.Fleet.LongestWait).Seconds()
 	if slack, late := s.slack(j); !late && slack != never {
-		wait = min(max(slack.Seconds(), 0)*limits.SlackShare, limits.PlanHorizon.Seconds())
+		wait = min(max(slack.Seconds(), 0)*s.cfg.Options.Fleet.SlackShare, time.Duration(s.cfg.Options.Fleet.LongestWait).Seconds())
 	}
 	return wait + j.estimate()
 }
@@ -618,7 +618,7 @@
 			*all = append(*all, o)
 		}
 		n -= got
-		if len(*all) > 4*limits.FleetMax || fresh[p] > limits.FleetMax {
+		if fresh[p] > float64(s.cfg.Options.Fleet.MaxMachines) {
 			return
 		}
 	}
@@ -700,7 +700,7 @@
 	if typ == nil {
 		return best, nil
 	}
-	if slack, late := s.slack(j); low > limits.DearRatio*floor && (late || slack > limits.DearSlack) {
+	if slack, late := s.slack(j); low > s.cfg.Options.Fleet.DearRatio*floor && (late || slack > time.Duration(s.cfg.Options.Fleet.DearSlack)) {
 		return best, nil // it can wait for cheaper ones
 	}
 	return best, typ
--- a/internal/coordination/scheduler/model.go
+++ b/internal/coordination/scheduler/model.go
@@ -294,6 +294,7 @@
 	Workers    config.Workers
 	State      config.State
 	ListLag    time.Duration
+	Options    config.Options
 }
 
 // Scheduler is the state of one term.
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -297,7 +297,7 @@
 // pressing tells whether waiting for room would break one of the job's times. Only then is room taken at somebody else's cost.
 func (s *Scheduler) pressing(j *job) bool {
 	slack, late := s.slack(j)
-	return !late && slack < limits.PreemptSlack
+	return !late && slack < time.Duration(s.cfg.Options.Preemption.Slack)
 }
 
 // mayStop is the protocol's rule of who may be stopped for whom, narrowed so that it has no circles: borrowed work of high priority does not
@@ -324,7 +324,7 @@
 			ran -= b.j.spec.BookmarkS
 		}
 	}
-	return (ran + 1) * b.j.need.cpu * (1 + limits.RestartWeight*float64(b.j.stops[b.idx]))
+	return (ran + 1) * b.j.need.cpu * (1 + s.cfg.Options.Preemption.RestartWeight*float64(b.j.stops[b.idx]))
 }
 
 // victim is a task that may be stopped.
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -122,6 +122,10 @@
 	// has to outlast an ordinary state-service outage; a crashed leader is back and
 	// takes over by its own name long before, so a long hold costs little.
 	HoldLife = 25 * time.Second
+	// HoldLifeMin and HoldLifeMax bound what an operator may set: below, a slow answer of the state service costs the
+	// leadership; the state service takes no more than the upper bound.
+	HoldLifeMin = 5 * time.Second
+	HoldLifeMax = 600 * time.Second
 	// TouchEvery is how often the hold is renewed: often enough that an outage
 	// starts with nearly the whole hold left.
 	TouchEvery = 2 * time.Second
