--- /dev/null
+++ b/internal/coordination/gateway/gateway_test.go
@@ -0,0 +1,219 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"quillshunt/internal/config"
+	"quillshunt/internal/coordination/leader"
+	"quillshunt/internal/coordination/peer"
+	"quillshunt/internal/limits"
+	"quillshunt/internal/protocol"
+	"quillshunt/internal/standin"
+	"quillshunt/internal/storage"
+	"quillshunt/internal/transport"
+)
+
+// front is a gateway without a leader, on real sockets, with a stand-in of the state service behind it.
+type front struct {
+	t     *testing.T
+	state *standin.State
+	addr  string
+	call  *transport.Client
+}
+
+func freePort(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func serve(t *testing.T, s *transport.Server) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go s.Run(ctx)
+	for {
+		conn, err := net.Dial("tcp", s.Addr)
+		if err == nil {
+			conn.Close()
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func newFront(t *testing.T) *front {
+	log := slog.New(slog.DiscardHandler)
+	f := &front{t: t, state: standin.NewState(), addr: freePort(t)}
+	types := storage.Types{Rigkinds: []protocol.Rigkind{{Sku: "g8", Vcpus: 16, Accelerators: 2, RamGb: 128, Yards: []string{"a"}}}}
+	f.state.Txn(protocol.Txn{Apply: []protocol.Op{{Write: storage.KeyTypes, Data: protocol.Encode(types)}}})
+	back := freePort(t)
+	serve(t, f.state.Server(back, log))
+	s := &config.Settings{NodeName: "rig-0", Facts: config.Facts{
+		Teams: []config.Team{{Name: "vision", CPUsMax: 100, GPUsMax: 4}, {Name: "tiny", CPUsMax: 1}},
+		State: config.State{RPS: 10_000, WriteRPS: 10_000, ValueKB: 4, TxnOps: 8}}}
+	store := storage.New(back, s.Facts.State, 1)
+	peers, err := peer.Dial(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &Gateway{Node: "rig-0", Store: store, Desk: leader.NewDesk(s, config.DefaultOptions(), store, nil, log), Peers: peers,
+		Leader: func() string { return "" }, Settings: s, Log: log}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	g.Start(ctx)
+	for g.types.Load() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	serve(t, &transport.Server{Addr: f.addr, MaxConns: 20, Handle: g.Handle, Log: log})
+	f.call = transport.NewClient(f.addr, 1, limits.MaxBodyBytes)
+	return f
+}
+
+func (f *front) do(method, target string, body any) (int, string, *transport.Message) {
+	f.t.Helper()
+	var b []byte
+	if raw, ok := body.([]byte); ok {
+		b = raw
+	} else if body != nil {
+		b = protocol.Encode(body)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	m, err := f.call.Do(ctx, method, target, b)
+	if err != nil {
+		f.t.Fatalf("%s %s: %v", method, target, err)
+	}
+	var st protocol.JobStatus
+	if len(m.Body) > 0 {
+		if err := protocol.Decode(m.Body, &st); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	return m.Status, st.Standing, m
+}
+
+func run(id string, change map[string]any) map[string]any {
+	r := map[string]any{"NameId": id, "Docket": "train", "Crew": "vision", "Shape": "sweep", "Urgency": "high", "Pieces": 2,
+		"Vcpus": 8.0, "Accelerators": 1, "RamGb": 64.0, "Bundle": "img", "SizeGb": 6.2, "Together": false, "Scatter": false,
+		"Lendable": true, "ReckonS": 240.0, "BookmarkS": 0, "StashS": 0}
+	for k, v := range change {
+		r[k] = v
+	}
+	return r
+}
+
+func TestUsersAPI(t *testing.T) {
+	f := newFront(t)
+	many := make([]string, limits.MaxRigkinds)
+	for i := range many {
+		many[i] = "g8-with-a-rather-long-name"
+	}
+	many[0] = "g8"
+	for _, c := range []struct {
+		what, method, target string
+		body                 any
+		status               int
+		standing             string
+	}{
+		{"health", "GET", "/healthz", nil, 200, ""},
+		{"health, wrong method", "POST", "/healthz", nil, 405, ""},
+		{"unknown path", "GET", "/v3/runs", nil, 404, ""},
+		{"path that only begins alike", "POST", "/v2/runsx", nil, 404, ""},
+		{"list", "GET", "/v2/runs", nil, 405, ""},
+		{"unknown verb", "POST", "/v2/runs/job-1/pause", nil, 404, ""},
+		{"show by the wrong method", "POST", "/v2/runs/job-1", nil, 405, ""},
+		{"cancel by the wrong method", "GET", "/v2/runs/job-1/cancel", nil, 405, ""},
+		{"report by the wrong method", "GET", "/v1/report", nil, 405, ""},
+		{"report without a leader", "POST", "/v1/report", map[string]any{"Rig": "m"}, 421, ""},
+		{"unknown run", "GET", "/v2/runs/job-1", nil, 404, ""},
+		{"no id of a run", "GET", "/v2/runs/x", nil, 404, ""},
+		{"cancel of an unknown run", "POST", "/v2/runs/job-1/cancel", nil, 404, ""},
+		{"not CBOR", "POST", "/v2/runs", []byte("{}x"), 400, ""},
+		{"record over the value limit", "POST", "/v2/runs", run("job-1", map[string]any{"Rigkinds": many}), 400, ""},
+		{"unknown team", "POST", "/v2/runs", run("job-1", map[string]any{"Crew": "nobody"}), 422, ""},
+		{"over the team's limit", "POST", "/v2/runs", run("job-1", map[string]any{"Crew": "tiny"}), 422, ""},
+		{"fits no type", "POST", "/v2/runs", run("job-1", map[string]any{"Vcpus": 17}), 422, ""},
+		{"unknown type", "POST", "/v2/runs", run("job-1", map[string]any{"Rigkinds": []string{"x"}}), 422, ""},
+		{"zone without such a type", "POST", "/v2/runs", run("job-1", map[string]any{"Yard": "b"}), 422, ""},
+		{"good", "POST", "/v2/runs", run("job-1", nil), 201, protocol.Pending},
+		{"again", "POST", "/v2/runs", run("job-1", nil), 200, protocol.Pending},
+		{"again, as something that cannot run", "POST", "/v2/runs", run("job-1", map[string]any{"Vcpus": 17}), 200, protocol.Pending},
+		{"show", "GET", "/v2/runs/job-1", nil, 200, protocol.Pending},
+		{"cancel", "POST", "/v2/runs/job-1/cancel", nil, 200, protocol.Aborted},
+		{"cancel again", "POST", "/v2/runs/job-1/cancel", nil, 200, protocol.Aborted},
+		{"show cancelled", "GET", "/v2/runs/job-1", nil, 200, protocol.Aborted},
+		{"submit cancelled", "POST", "/v2/runs", run("job-1", nil), 200, protocol.Aborted},
+	} {
+		if status, standing, _ := f.do(c.method, c.target, c.body); status != c.status || standing != c.standing {
+			t.Errorf("%s: %d %q, want %d %q", c.what, status, standing, c.status, c.standing)
+		}
+	}
+
+	// A job that is over stays what it is, also for repeats and cancellations.
+	f.state.Txn(protocol.Txn{Apply: []protocol.Op{{Write: storage.FinalKey("job-2"), Data: protocol.Encode(storage.Final{Standing: protocol.Done})}}})
+	for _, target := range []string{"/v2/runs/job-2/cancel", "/v2/runs"} {
+		if status, standing, _ := f.do("POST", target, run("job-2", nil)); status != 200 || standing != protocol.Done {
+			t.Errorf("%s of a done job: %d %q", target, status, standing)
+		}
+	}
+
+	// Without the state service nobody is told anything but when to come back; final states are known for good.
+	f.state.SetDown(true)
+	if status, _, m := f.do("GET", "/v2/runs/job-1", nil); status != 503 || m.RetryAfter == 0 {
+		t.Errorf("in an outage: %d, retry after %d", status, m.RetryAfter)
+	}
+	if status, standing, _ := f.do("GET", "/v2/runs/job-2", nil); status != 200 || standing != protocol.Done {
+		t.Errorf("done job in an outage: %d %q", status, standing)
+	}
+	f.state.SetDown(false)
+	if status, standing, _ := f.do("POST", "/v2/runs", run("job-3", nil)); status != 201 || standing != protocol.Pending {
+		t.Errorf("after the outage: %d %q", status, standing)
+	}
+}
+
+// TestMalformedCostsItsConnection: what cannot be parsed is answered and closed, and others are served on.
+func TestMalformedCostsItsConnection(t *testing.T) {
+	f := newFront(t)
+	for _, raw := range []string{
+		"GET / HTTP/9\r\n\r\n", "POST /v2/runs HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nx",
+		"GET /healthz HTTP/1.1\r\n\r\nGET /healthz HTTP/1.1\r\n\r\nGET /healthz HTTP/1.1\r\n\r\n", // pipelined: one answer
+		"GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\n",
+	} {
+		conn, err := net.Dial("tcp", f.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := conn.Write([]byte(raw)); err != nil {
+			t.Fatal(err)
+		}
+		got, _ := io.ReadAll(conn) // ends because the server closes
+		conn.Close()
+		d := transport.NewResponseDecoder(limits.MaxBodyBytes)
+		d.Feed(got)
+		if m, err := d.Next(); err != nil || m == nil || d.Buffered() > 0 {
+			t.Errorf("%q: answered %q", raw, got)
+		}
+	}
+	if status, _, _ := f.do("GET", "/healthz", nil); status != 200 {
+		t.Errorf("others: %d", status)
+	}
+}
+
+// TestFullStage: beyond its stage the front door answers at once when to come back.
+func TestFullStage(t *testing.T) {
+	g := &Gateway{stage: make(chan struct{})}
+	srv := &transport.Server{Addr: freePort(t), MaxConns: 5, Handle: g.Handle, Log: slog.New(slog.DiscardHandler)}
+	serve(t, srv)
+	f := &front{t: t, call: transport.NewClient(srv.Addr, 1, limits.MaxBodyBytes)}
+	if status, _, m := f.do("POST", "/v2/runs", run("job-1", nil)); status != 503 || m.RetryAfter == 0 {
+		t.Fatalf("%d, retry after %d", status, m.RetryAfter)
+	}
+}
