--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -176,7 +176,7 @@
 	SlackCap = time.Hour
 	// PreemptSlack is the slack below which a deadline is held to be pressing: then waiting for
 	// room is worse than the loss of somebody's work.
-	PreemptSlack = 3 * time.Second
+	PreemptSlack = 6 * time.Second
 	// WeighPrice prefers machines that cost less for each CPU, so that the dear ones empty first.
 	WeighPrice = 6.0
 	// LearnWeight is the least weight of a new run time in a class's learned ratio.
