--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -178,7 +178,7 @@
 	// room is worse than the loss of somebody's work.
 	PreemptSlack = 6 * time.Second
 	// WeighPrice prefers machines that cost less for each CPU, so that the dear ones empty first.
-	WeighPrice = 16.0
+	WeighPrice = 6.0
 	// LearnWeight is the least weight of a new run time in a class's learned ratio.
 	LearnWeight = 0.05
 	// StashMargin is added to the time a task needs to save when it is told to stop.
