--- a/internal/coordination/scheduler/model.go
+++ b/internal/coordination/scheduler/model.go
@@ -212,6 +212,9 @@
 	deleteWhy string
 	errs      int
 	errJobs   map[string]bool
+	useful    float64 // CPU seconds of tasks that completed here, and of those that did not, and of waiting for images
+	wasted    float64
+	fetched   float64
 	speedSum  float64
 	speedN    int
 }
@@ -388,6 +391,13 @@
 }
 
 func (s *Scheduler) dropMachine(m *machine) {
+	life := (s.now - m.created).Seconds()
+	boot := life
+	if m.seen && m.upAt > m.created {
+		boot = (m.upAt - m.created).Seconds()
+	}
+	s.note(false, "machine gone", "machine", m.name, "reason", m.deleteWhy, "type", m.kind, "spot", m.spot, "cpus", m.size().cpu, "life", life, "boot", boot,
+		"useful", m.useful, "wasted", m.wasted, "fetched", m.fetched)
 	delete(s.machines, m.name)
 	for i, x := range s.fleet {
 		if x == m {
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -322,6 +322,7 @@
 	case protocol.Running:
 		if b.phase != running {
 			b.phase, b.runAt = running, s.now
+			b.m.fetched += (s.now - b.at).Seconds() * b.j.need.cpu
 			s.emit(Note{Level: slog.LevelDebug, Msg: "task running", Args: []any{"job", b.j.id, "class", b.j.spec.Docket, "task", b.idx, "machine", b.m.name,
 				"age", (s.now - b.j.at).Seconds(), "queued", (b.at - b.j.at).Seconds(), "fetch", (s.now - b.at).Seconds(), "gb", b.j.spec.SizeGb}})
 			b.m.images[b.j.spec.Bundle] = s.now
@@ -349,6 +350,7 @@
 	case protocol.CauseDone:
 		m.images[j.spec.Bundle] = s.now
 		m.errs, m.errJobs = 0, map[string]bool{}
+		m.useful += ran * j.need.cpu
 		if !j.cancelled {
 			x.j = j
 			x.chunk, x.ver = s.taskDone(j, idx)
@@ -357,9 +359,11 @@
 			}
 		}
 	case protocol.CauseError:
+		m.wasted += ran * j.need.cpu
 		s.note(true, "task failed", "job", j.id, "task", idx, "attempt", t.Try, "machine", m.name)
 		s.failed(j, m)
 	case protocol.CauseHalted:
+		m.wasted += ran * j.need.cpu
 		if b.stop && b.stopWhy != "cancelled" {
 			j.stops[idx]++
 		}
