Longer hold; a leader that alone lacks the state service hands over

A hold of 60 s carries entitlement through longer outages. What it would cost, a leader that alone is refused for that long, is met by handing over: the leader asks the others whether they reach the service, ends its mandate for good, and only then offers the lead, which is taken by a write guarded by its key. A node that alone is refused also reports itself unhealthy.

--- a/internal/coordination/election/election.go
+++ b/internal/coordination/election/election.go
@@ -31,6 +31,7 @@
 	Stamp uint64 // of the leader key; guards every write of the term
 	start time.Time
 	until atomic.Int64 // nanoseconds after start
+	ended atomic.Bool  // given up; whatever a late touch says
 }
 
 // NewMandate returns a mandate that is entitled until the given time.
@@ -48,30 +49,42 @@
 
 // Entitled tells whether we are surely the leader at this moment. The process may lose its core right after, so
 // whatever follows is also fenced by the term, the stamp, or a name that is never used again.
-func (m *Mandate) Entitled() bool { return int64(time.Since(m.start)) < m.until.Load() }
+func (m *Mandate) Entitled() bool {
+	return !m.ended.Load() && int64(time.Since(m.start)) < m.until.Load()
+}
 
 // Guard makes a write fail once there is another leader.
 func (m *Mandate) Guard() protocol.Guard {
 	return protocol.Guard{Path: storage.KeyLeader, Stamp: m.Stamp}
 }
 
+// Others are the other controllers, as far as elections go.
+type Others interface {
+	// Able returns the name of a controller that reaches the state service, or "".
+	Able(ctx context.Context) string
+	// Take tells that controller that a term is over.
+	Take(ctx context.Context, node string, term, stamp uint64) error
+}
+
 // Elector takes part in elections. Lead is called with each mandate and must return soon after its context ends.
 type Elector struct {
 	Node  string
 	Store Store
 	Life  time.Duration
 	Lead  func(ctx context.Context, m *Mandate)
+	Peers Others // or nil
 	Log   *slog.Logger
 
 	nonce  uint64
 	leader atomic.Pointer[string]
 	lost   chan uint64
+	offer  chan uint64 // stamp of a leader key whose term its leader has given up
 }
 
 // New returns an Elector.
 func New(node string, store Store, life time.Duration, lead func(context.Context, *Mandate), log *slog.Logger) *Elector {
 	return &Elector{Node: node, Store: store, Life: life, Lead: lead, Log: log,
-		nonce: rand.Uint64() >> 1, lost: make(chan uint64, 1)}
+		nonce: rand.Uint64() >> 1, lost: make(chan uint64, 1), offer: make(chan uint64, 1)}
 }
 
 // Leader is the name of the leader as far as we know, or "".
@@ -92,6 +105,26 @@
 	}
 }
 
+// Able tells whether we reach the state service right now.
+func (e *Elector) Able(ctx context.Context) bool {
+	_, err := e.Store.Get(ctx, storage.KeyLeader)
+	return err == nil
+}
+
+// Take is told by the leader of a term that it has given it up and does nothing in it any more. We may lead at once, without waiting for
+// the end of its hold: the guard on the key's stamp sees to it that only that term is replaced.
+func (e *Elector) Take(term, stamp uint64) {
+	e.Log.Info("offered the lead", "term", term)
+	select {
+	case <-e.offer: // a newer offer replaces an older one
+	default:
+	}
+	select {
+	case e.offer <- stamp:
+	default:
+	}
+}
+
 // Run takes part until the context ends.
 func (e *Elector) Run(ctx context.Context) {
 	var back storage.Backoff
@@ -124,11 +157,7 @@
 		}
 		if l.Node != e.Node {
 			e.setLeader(l.Node)
-			_, err := e.Store.Watch(ctx, storage.KeyLeader, p.Stamp)
-			if err != nil && !errors.Is(err, storage.ErrGone) {
-				return fmt.Errorf("watch leader: %w", err)
-			}
-			return nil
+			return e.follow(ctx, p.Stamp)
 		}
 		// The key carries our own name. Only one process of a name lives, so the one that wrote it is over
 		// (or it is this one, and its term was given up); the guard on its stamp makes the replacement safe.
@@ -137,6 +166,32 @@
 	return e.campaign(ctx, p.Stamp)
 }
 
+// follow waits until the leader key changes, or the leader gives up and offers the lead to us.
+func (e *Elector) follow(ctx context.Context, stamp uint64) error {
+	wctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	changed := make(chan error, 1)
+	go func() {
+		_, err := e.Store.Watch(wctx, storage.KeyLeader, stamp)
+		changed <- err
+	}()
+	for {
+		select {
+		case err := <-changed:
+			if err != nil && !errors.Is(err, storage.ErrGone) {
+				return fmt.Errorf("watch leader: %w", err)
+			}
+			return nil
+		case offered := <-e.offer:
+			if offered == stamp {
+				cancel()
+				<-changed
+				return e.campaign(ctx, stamp)
+			}
+		}
+	}
+}
+
 func (e *Elector) campaign(ctx context.Context, stamp uint64) error {
 	tp, err := e.Store.Get(ctx, storage.KeyTerm)
 	if err != nil {
@@ -204,6 +259,7 @@
 	}()
 	tick := time.NewTicker(limits.TouchEvery)
 	defer tick.Stop()
+	renewed := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -223,11 +279,34 @@
 				// After an outage this may come long after we stopped being entitled. As the hold has lived all the
 				// while, nobody else can have led, and the term goes on.
 				m.extend(sent.Add(limits.Entitled(e.Life)))
+				renewed = time.Now()
 			case errors.Is(err, storage.ErrNoHold):
 				return
 			default:
 				e.Log.Debug("touch", "term", m.Term, "err", err)
+				if e.Peers != nil && time.Since(renewed) > limits.AloneAfter && e.handOver(ctx, m) {
+					return
+				}
 			}
 		}
 	}
 }
+
+// handOver gives the term up if another controller reaches the state service while we do not. The order matters: the mandate
+// ends for good before the successor hears of it.
+func (e *Elector) handOver(ctx context.Context, m *Mandate) bool {
+	node := e.Peers.Able(ctx)
+	if node == "" {
+		return false // an outage for all: go on for the rest of the hold
+	}
+	m.ended.Store(true)
+	e.Log.Warn("alone without the state service, handing over", "term", m.Term, "successor", node)
+	for range limits.TakeTries {
+		err := e.Peers.Take(ctx, node, m.Term, m.Stamp)
+		if err == nil {
+			break
+		}
+		e.Log.Info("successor not told", "term", m.Term, "err", err)
+	}
+	return true
+}
--- a/internal/coordination/election/election_test.go
+++ b/internal/coordination/election/election_test.go
@@ -127,6 +127,42 @@
 	done   chan struct{}
 	mu     sync.Mutex
 	leads  *Mandate
+	e      *Elector
+	others *[]*node
+}
+
+// Able and Take reach the other nodes directly; what is said may be lost or late.
+func (n *node) Able(ctx context.Context) string {
+	for _, o := range *n.others {
+		if o != n && !n.store.chance(0.2) && o.up() != nil && o.up().Able(ctx) {
+			return o.name
+		}
+	}
+	return ""
+}
+
+func (n *node) Take(_ context.Context, name string, term, stamp uint64) error {
+	for _, o := range *n.others {
+		if o.name != name || n.store.chance(0.2) {
+			continue
+		}
+		n.store.mu.Lock()
+		d := time.Duration(n.store.r.IntN(2000)) * time.Millisecond
+		n.store.mu.Unlock()
+		time.AfterFunc(d, func() {
+			if e := o.up(); e != nil {
+				e.Take(term, stamp)
+			}
+		})
+		return nil
+	}
+	return storage.ErrUnclear
+}
+
+func (n *node) up() *Elector {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.e
 }
 
 func (n *node) start(t *testing.T) {
@@ -141,6 +177,10 @@
 		n.leads = nil
 		n.mu.Unlock()
 	}, slog.New(slog.DiscardHandler))
+	e.Peers = n
+	n.mu.Lock()
+	n.e = e
+	n.mu.Unlock()
 	go func() {
 		defer close(n.done)
 		e.Run(ctx)
@@ -148,6 +188,9 @@
 }
 
 func (n *node) crash() {
+	n.mu.Lock()
+	n.e = nil
+	n.mu.Unlock()
 	n.cancel()
 	<-n.done
 }
@@ -169,10 +212,12 @@
 			s := standin.NewState()
 			var nodes []*node
 			for i := range 3 {
-				n := &node{name: fmt.Sprintf("rig-%d", i), store: &flaky{s: s, r: rand.New(rand.NewPCG(seed, uint64(10+i))), lossy: 0.1}}
-				n.start(t)
+				n := &node{name: fmt.Sprintf("rig-%d", i), store: &flaky{s: s, r: rand.New(rand.NewPCG(seed, uint64(10+i))), lossy: 0.1}, others: &nodes}
 				nodes = append(nodes, n)
 			}
+			for _, n := range nodes {
+				n.start(t)
+			}
 			var top uint64
 			check := func() {
 				var who []string
@@ -238,7 +283,7 @@
 func TestRestartTakesOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := standin.NewState()
-		n := &node{name: "rig-0", store: &flaky{s: s, r: rand.New(rand.NewPCG(1, 1))}}
+		n := &node{name: "rig-0", store: &flaky{s: s, r: rand.New(rand.NewPCG(1, 1))}, others: &[]*node{}}
 		n.start(t)
 		time.Sleep(3 * time.Second)
 		first := n.entitled()
@@ -254,3 +299,36 @@
 		n.crash()
 	})
 }
+
+// TestHandOver: a leader that alone is refused by the state service is replaced long before its hold ends, and one that is refused like all
+// others is not.
+func TestHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := standin.NewState()
+		var nodes []*node
+		for i := range 2 {
+			nodes = append(nodes, &node{name: fmt.Sprintf("rig-%d", i), store: &flaky{s: s, r: rand.New(rand.NewPCG(2, uint64(i)))}, others: &nodes})
+		}
+		nodes[0].start(t)
+		time.Sleep(3 * time.Second)
+		nodes[1].start(t)
+		time.Sleep(3 * time.Second)
+		s.SetDown(true)
+		time.Sleep(limits.HoldLife / 2)
+		if nodes[0].entitled() == nil {
+			t.Fatal("gave up in an outage for all")
+		}
+		s.SetDown(false)
+		time.Sleep(5 * time.Second)
+		nodes[0].store.mu.Lock()
+		nodes[0].store.alone = time.Now().Add(time.Hour)
+		nodes[0].store.mu.Unlock()
+		time.Sleep(limits.HoldLife / 2)
+		if nodes[0].entitled() != nil || nodes[1].entitled() == nil {
+			t.Fatal("not handed over")
+		}
+		for _, n := range nodes {
+			n.crash()
+		}
+	})
+}
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -39,6 +39,8 @@
 	finals finals
 
 	relays  chan struct{}
+	alone   atomic.Bool // another node reaches the state service and we do not
+	asking  atomic.Bool
 	cutTill atomic.Int64 // until when the leader is taken to be out of our reach, in Unix nanoseconds
 }
 
@@ -81,7 +83,7 @@
 			rsp.Respond(405, nil, 0)
 			return
 		}
-		rsp.Respond(200, nil, 0)
+		rsp.Respond(g.health(), nil, 0)
 		return
 	case "/v1/report":
 		if req.Method != "POST" {
@@ -137,6 +139,27 @@
 	}()
 }
 
+// health is 503 while we alone do not reach the state service: then users are better served by another node. In an outage for all it stays
+// 200, as it would help nobody if all nodes were taken out.
+func (g *Gateway) health() int {
+	if g.Store.Failing() < limits.AloneAfter {
+		g.alone.Store(false)
+		return 200
+	}
+	if g.asking.CompareAndSwap(false, true) {
+		go func() {
+			defer g.asking.Store(false)
+			g.alone.Store(g.Peers.Able(g.ctx) != "")
+			// Nobody may call while we are out of service, so look for ourselves whether it is over.
+			_, _ = g.Store.Get(g.ctx, storage.KeyTerm)
+		}()
+	}
+	if g.alone.Load() {
+		return 503
+	}
+	return 200
+}
+
 type action uint8
 
 const (
--- a/internal/coordination/peer/peer.go
+++ b/internal/coordination/peer/peer.go
@@ -27,16 +27,25 @@
 	Relayed(ctx context.Context, report []byte) (status int, body []byte)
 }
 
+// Candidate is the part of this process that takes part in elections.
+type Candidate interface {
+	// Able tells whether the state service can be reached right now.
+	Able(ctx context.Context) bool
+	// Take is told that the term of that leader key is over.
+	Take(term, stamp uint64)
+}
+
 // Server answers other controllers.
 type Server struct {
 	peerpb.UnimplementedPeerServer
-	local Local
-	grpc  *grpc.Server
+	local     Local
+	candidate Candidate
+	grpc      *grpc.Server
 }
 
 // NewServer returns a Server for the local process.
-func NewServer(local Local) *Server {
-	s := &Server{local: local, grpc: grpc.NewServer(
+func NewServer(local Local, candidate Candidate) *Server {
+	s := &Server{local: local, candidate: candidate, grpc: grpc.NewServer(
 		grpc.MaxRecvMsgSize(limits.MaxBodyBytes),
 		grpc.MaxConcurrentStreams(limits.PeerStreams),
 		grpc.NumStreamWorkers(0),
@@ -71,6 +80,17 @@
 	return &peerpb.RelayReply{Status: int32(status), Body: body}, nil
 }
 
+// Able implements the service.
+func (s *Server) Able(ctx context.Context, _ *peerpb.AbleRequest) (*peerpb.AbleReply, error) {
+	return &peerpb.AbleReply{Able: s.candidate.Able(ctx)}, nil
+}
+
+// Take implements the service.
+func (s *Server) Take(_ context.Context, r *peerpb.TakeRequest) (*peerpb.TakeReply, error) {
+	s.candidate.Take(r.GetTerm(), r.GetStamp())
+	return &peerpb.TakeReply{}, nil
+}
+
 // Peers are the other controllers.
 type Peers struct{ conns map[string]*grpc.ClientConn }
 
@@ -125,3 +145,39 @@
 	}
 	return int(r.GetStatus()), r.GetBody(), nil
 }
+
+// Able returns the name of a controller that reaches the state service, or "".
+func (p *Peers) Able(ctx context.Context) string {
+	ctx, cancel := context.WithTimeout(ctx, limits.AbleTimeout)
+	defer cancel()
+	found := make(chan string, len(p.conns))
+	for name, conn := range p.conns {
+		go func() {
+			r, err := peerpb.NewPeerClient(conn).Able(ctx, &peerpb.AbleRequest{})
+			if err != nil || !r.GetAble() {
+				name = ""
+			}
+			found <- name
+		}()
+	}
+	for range p.conns {
+		if name := <-found; name != "" {
+			return name
+		}
+	}
+	return ""
+}
+
+// Take tells a controller that the term of a leader key is over.
+func (p *Peers) Take(ctx context.Context, node string, term, stamp uint64) error {
+	conn := p.conns[node]
+	if conn == nil {
+		return fmt.Errorf("hand over: no controller %q", node)
+	}
+	ctx, cancel := context.WithTimeout(ctx, limits.AbleTimeout)
+	defer cancel()
+	if _, err := peerpb.NewPeerClient(conn).Take(ctx, &peerpb.TakeRequest{Term: term, Stamp: stamp}); err != nil {
+		return fmt.Errorf("hand over: %w", err)
+	}
+	return nil
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -118,10 +118,10 @@
 
 // Leadership.
 const (
-	// HoldLife is the life of the leader's hold. With the workers' lease it
-	// has to outlast an ordinary state-service outage; a crashed leader is back and
-	// takes over by its own name long before, so a long hold costs little.
-	HoldLife = 25 * time.Second
+	// HoldLife is the life of the leader's hold. With the workers' lease it has to outlast an outage of the state
+	// service. A long one costs little: a crashed leader is back under its own name and takes over long before, and one
+	// that alone is refused hands over. Only a leader whose machine is lost for good is replaced this much later.
+	HoldLife = 60 * time.Second
 	// HoldLifeMin and HoldLifeMax bound what an operator may set: below, a slow answer of the state service costs the
 	// leadership; the state service takes no more than the upper bound.
 	HoldLifeMin = 5 * time.Second
@@ -129,8 +129,12 @@
 	// TouchEvery is how often the hold is renewed: often enough that an outage
 	// starts with nearly the whole hold left.
 	TouchEvery = 2 * time.Second
-	// ElectionPause is the pause after a lost or failed election.
-	ElectionPause = 300 * time.Millisecond
+	// AloneAfter is how long the hold could not be renewed before the leader asks the others whether it is alone with that.
+	AloneAfter = 4 * time.Second
+	// AbleTimeout bounds what controllers ask each other about that.
+	AbleTimeout = time.Second
+	// TakeTries is how often a leader that gave up tells its successor; if all are lost, the end of the hold does it.
+	TakeTries = 3
 	// TryTermShift is where the term begins in an attempt number, so that attempts rise across leaders.
 	TryTermShift = 32
 )
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -56,6 +57,7 @@
 	writes   *rate.Limiter
 	settings config.State
 	nodes    int
+	failing  atomic.Int64 // since when no call succeeded, in Unix nanoseconds; 0 if the last one did
 }
 
 // New returns a Store that keeps to this controller's share of the rates.
@@ -88,9 +90,22 @@
 	ctx, cancel := context.WithTimeout(ctx, limits.StateTimeout)
 	defer cancel()
 	m, err := s.http.Do(ctx, method, target, body)
+	if err == nil && m.Status != 503 {
+		s.failing.Store(0)
+	} else {
+		s.failing.CompareAndSwap(0, time.Now().UnixNano())
+	}
 	return checked(m, err)
 }
 
+// Failing is for how long no call succeeded.
+func (s *Store) Failing() time.Duration {
+	if since := s.failing.Load(); since != 0 {
+		return time.Since(time.Unix(0, since))
+	}
+	return 0
+}
+
 func checked(m *transport.Message, err error) (*transport.Message, error) {
 	switch {
 	case errors.Is(err, transport.ErrNotSent):
