--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -387,7 +387,11 @@
 		switch {
 		case !m.seen && m.mark != unmarked:
 			// It had reported to an earlier leader, and neither reports to us nor answers.
-			if s.now > s.took+max(limits.RebuildPatience, time.Duration(limits.RebuildReports*float64(s.report))) && !lost {
+			patience := max(limits.RebuildPatience, time.Duration(limits.RebuildReports*float64(s.report)))
+			if lost {
+				patience = max(patience, limit) // so many at once may be a cut that ends soon
+			}
+			if s.now > s.took+patience {
 				s.remove(m, "not heard of since the take-over")
 			}
 		case !m.seen:
