--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -226,7 +226,7 @@
 	CapacityBackoffMin = 5 * time.Second
 	CapacityBackoffMax = 40 * time.Second
 	// SilentShare is the share of a worker's lease after which a silent machine is deleted.
-	SilentShare = 0.5
+	SilentShare = 0.75
 	// SilentCrowd is the share of machines silent at once above which the network is to blame, and nobody is deleted.
 	SilentCrowd = 0.25
 	// DearRatio and DearSlack: a pool that costs this many times the cheapest is used only for jobs with less slack than this.
