--- a/internal/coordination/leader/workers.go
+++ b/internal/coordination/leader/workers.go
@@ -32,14 +32,14 @@
 
 // probe learns a machine's session and shows it our term; what it answers then is not changed by earlier leaders any more.
 func (t *term) probe(ctx context.Context, p scheduler.ProbeOut) {
-	ctx, cancel := context.WithTimeout(ctx, limits.ProbeTimeout)
+	pctx, cancel := context.WithTimeout(ctx, limits.ProbeTimeout)
 	defer cancel()
 	c := transport.NewClient(p.Address, 1, limits.MaxBodyBytes)
 	defer c.Close()
-	r, err := t.probeReport(ctx, c)
+	r, err := t.probeReport(pctx, c)
 	if err != nil {
 		t.log.Debug("probe", "machine", p.Rig, "err", err)
-		return
+		r = nil
 	}
 	t.post(ctx, scheduler.ProbeDone{Rig: p.Rig, Report: r})
 }
--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -371,7 +371,7 @@
 		case m.deleting:
 		case m.seen:
 			up++
-			if quiet(m) {
+			if s.now > max(m.heard, s.took)+s.stale() {
 				silent++
 			}
 		case m.mark != unmarked:
@@ -379,6 +379,8 @@
 		}
 	}
 	lost := unheard > 3 && float64(unheard) > limits.SilentCrowd*float64(unheard+up)
+	// Many machines falling silent together is a cut, not a series of deaths: they may come back, sooner than others would boot. Counted are
+	// those that have only just begun to be silent, as otherwise the first of a crowd would go one by one.
 	crowd := silent > 3 && float64(silent) > limits.SilentCrowd*float64(up)
 	for _, m := range s.fleet {
 		if m.deleting {
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -51,13 +51,13 @@
 }
 
 // relay tells whether a report is answered the way it came. A worker that comes through another controller is first told to come itself; one
-// that was here before and now comes that way cannot reach us. From time to time it is told to try again.
+// that was here before and now comes that way, or that we did not reach either, cannot reach us. From time to time it is told to try again.
 func (s *Scheduler) relay(m *machine, relayed bool) bool {
 	if !relayed {
 		m.direct, m.relayed, m.relayTry = true, false, 0
 		return true
 	}
-	if !m.direct && m.relayTry == 0 {
+	if !m.direct && !m.missed && m.relayTry == 0 {
 		m.relayTry++
 		return false
 	}
@@ -102,6 +102,9 @@
 func (s *Scheduler) probeDone(e ProbeDone) {
 	m := s.machines[e.Rig]
 	r := e.Report
+	if m != nil && r == nil {
+		m.missed = true
+	}
 	if m == nil || r == nil || r.Rig != e.Rig || !r.Valid() || r.Baton != s.cfg.Term || s.old(m, r) {
 		return
 	}
