--- a/internal/coordination/scheduler/model.go
+++ b/internal/coordination/scheduler/model.go
@@ -81,6 +81,12 @@
 	wroteAt time.Duration
 }
 
+// due is a time that a job should meet, by its completion or by the start of its tasks.
+type due struct {
+	at    time.Duration
+	start bool
+}
+
 type job struct {
 	id        string
 	spec      protocol.Spec
@@ -92,7 +98,7 @@
 	cancelled bool
 	cancelAt  time.Duration
 	at        time.Duration // of its submission
-	dues      []time.Duration
+	dues      []due
 	guar      bool // fits into its team's guarantee together with the team's earlier unfinished jobs
 	over      bool // its final record is written
 	finishing bool
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -108,8 +108,13 @@
 func (s *Scheduler) slack(j *job) (time.Duration, bool) {
 	est := limits.Seconds(j.estimate())
 	for _, d := range j.dues {
-		if left := d - s.now - est; left > -est/4 {
-			return left, false
+		left := d.at - s.now
+		if d.start {
+			if left > 0 {
+				return left, false
+			}
+		} else if left -= est; left > -est/4 {
+			return left, false // a little late by the estimate may still be in time
 		}
 	}
 	if len(j.dues) == 0 {
--- a/internal/coordination/scheduler/step.go
+++ b/internal/coordination/scheduler/step.go
@@ -136,25 +136,25 @@
 }
 
 // dues are the times by which the job should be complete, from its own deadline and from the aims of its class.
-func (s *Scheduler) dues(j *job) []time.Duration {
-	var out []time.Duration
+func (s *Scheduler) dues(j *job) []due {
+	var out []due
 	for _, o := range s.cfg.Objectives {
 		if o.Class != j.spec.Docket {
 			continue
 		}
 		switch {
 		case o.Kind == "deadline" && j.spec.DueS > 0:
-			out = append(out, j.at+limits.Seconds(j.spec.DueS*max(o.Times, 1)))
+			out = append(out, due{at: j.at + limits.Seconds(j.spec.DueS*max(o.Times, 1))})
 		case o.Kind == "finished" && o.WithinS > 0:
-			out = append(out, j.at+limits.Seconds(o.WithinS))
+			out = append(out, due{at: j.at + limits.Seconds(o.WithinS)})
 		case o.Kind == "wait" && o.WithinS > 0:
-			out = append(out, j.at+limits.Seconds(o.WithinS+j.spec.ReckonS))
+			out = append(out, due{at: j.at + limits.Seconds(o.WithinS), start: true})
 		}
 	}
 	if len(out) == 0 && j.spec.DueS > 0 {
-		out = append(out, j.at+limits.Seconds(j.spec.DueS))
+		out = append(out, due{at: j.at + limits.Seconds(j.spec.DueS)})
 	}
-	sort.Slice(out, func(a, b int) bool { return out[a] < out[b] })
+	sort.Slice(out, func(a, b int) bool { return out[a].at < out[b].at })
 	return out
 }
 
