--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -16,12 +16,11 @@
 	}
 	s.dirty = false
 	for _, j := range s.claims() {
-		pressing := s.pressing(j)
 		for j.free() > 0 {
 			if !j.team.fits(j.need) {
 				break
 			}
-			m, victims := s.choose(j, pressing)
+			m, victims := s.choose(j)
 			if m == nil {
 				break
 			}
@@ -200,7 +199,8 @@
 }
 
 // choose picks a machine for one task of a job, and the tasks to stop there.
-func (s *Scheduler) choose(j *job, pressing bool) (*machine, []*binding) {
+func (s *Scheduler) choose(j *job) (*machine, []*binding) {
+	pressing := s.pressing(j)
 	var cs []candidate
 	for _, m := range s.fleet {
 		if m.drain || !s.usable(m) || !s.allowed(j, m) {
@@ -302,32 +302,7 @@
 // pressing tells whether waiting for room would break one of the job's times. Only then is room taken at somebody else's cost.
 func (s *Scheduler) pressing(j *job) bool {
 	slack, late := s.slack(j)
-	if late {
-		return false
-	}
-	need := time.Duration(s.cfg.Options.Preemption.Slack)
-	if slack > need+limits.Seconds(j.spec.SizeGb*limits.SlowestPull) {
-		return false
-	}
-	return slack < need+s.fetchTime(j)
-}
-
-// fetchTime is how long a task of the job is expected to wait for its image, given how many machines have it.
-func (s *Scheduler) fetchTime(j *job) time.Duration {
-	sum, n := 0.0, 0
-	for _, m := range s.fleet {
-		if !s.usable(m) || !s.allowed(j, m) {
-			continue
-		}
-		n++
-		if _, ok := m.images[j.spec.Bundle]; !ok {
-			sum += j.spec.SizeGb / max(m.typ.PullGbPerS, 1e-3)
-		}
-	}
-	if n == 0 {
-		return 0
-	}
-	return limits.Seconds(sum / float64(n))
+	return !late && slack < time.Duration(s.cfg.Options.Preemption.Slack)
 }
 
 // mayStop is the protocol's rule of who may be stopped for whom, narrowed so that it has no circles: borrowed work of high priority does not
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -194,8 +194,6 @@
 	FlushEvery = 3 * time.Second
 	// FlushInFlight is how many chunk writes may wait for an answer at once.
 	FlushInFlight = 4
-	// SlowestPull is the slowest image fetch that is reckoned with when slack is judged quickly, in seconds for each GB.
-	SlowestPull = 20.0
 	// RestartWeight makes a task costlier to stop for each time it was stopped before.
 	RestartWeight = 4.0
 )
