--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -16,11 +16,12 @@
 	}
 	s.dirty = false
 	for _, j := range s.claims() {
+		pressing := s.pressing(j)
 		for j.free() > 0 {
 			if !j.team.fits(j.need) {
 				break
 			}
-			m, victims := s.choose(j)
+			m, victims := s.choose(j, pressing)
 			if m == nil {
 				break
 			}
@@ -199,8 +200,7 @@
 }
 
 // choose picks a machine for one task of a job, and the tasks to stop there.
-func (s *Scheduler) choose(j *job) (*machine, []*binding) {
-	pressing := s.pressing(j)
+func (s *Scheduler) choose(j *job, pressing bool) (*machine, []*binding) {
 	var cs []candidate
 	for _, m := range s.fleet {
 		if m.drain || !s.usable(m) || !s.allowed(j, m) {
