Silent machines are not returned as idle

Its machines' sessions lapsed in its books, so they held nothing, and it returned the whole fleet as idle; the deletions went out when the network was back.

--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -515,6 +515,9 @@
 		if !s.settled || m.deleting || !m.seen || m.wanted || len(m.binds) > 0 || !s.durable(m) || m.hire == "" {
 			continue
 		}
+		if s.now > m.heard+s.stale() {
+			continue // silent, not idle: when a cut leader hears its machines again, they are still good
+		}
 		idle := time.Duration(s.cfg.Options.Fleet.IdleReturn)
 		if m.drain {
 			idle = limits.DrainReturn
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -269,6 +269,22 @@
 	}
 }
 
+// TestSilentIsNotIdle: machines that all fell silent, as when the leader itself is cut off, are not returned as idle.
+func TestSilentIsNotIdle(t *testing.T) {
+	b := newBed(t, 8)
+	for i := range 8 {
+		b.report(i)
+	}
+	for range 100 {
+		b.now += time.Second
+		for _, e := range b.step(Tick{Entitled: true}) {
+			if d, ok := e.(DeleteOut); ok && b.now < 50*time.Second {
+				t.Fatalf("at %v: returned %v", b.now, d.Rigs)
+			}
+		}
+	}
+}
+
 // TestHugeJob: a job of the largest size is placed, recorded in chunks below the value limit, and finished.
 func TestHugeJob(t *testing.T) {
 	b := newBed(t, 2)
