--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -408,6 +408,8 @@
 			s.remove(m, "silent")
 		case m.sick():
 			s.remove(m, "fails its tasks")
+		case m.slow():
+			s.remove(m, "slow")
 		case m.notice && len(m.binds) == 0 && s.durable(m):
 			s.remove(m, "spot notice")
 		default:
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -203,7 +203,7 @@
 func (s *Scheduler) choose(j *job, pressing bool) (*machine, []*binding) {
 	var cs []candidate
 	for _, m := range s.fleet {
-		if m.drain || !s.usable(m) || !s.allowed(j, m) {
+		if m.drain || !s.usable(m) || !s.allowed(j, m) || len(m.binds)+len(m.exits) >= limits.MaxTasks {
 			continue
 		}
 		free := m.freeRoom()
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -420,6 +420,11 @@
 	return m.errs >= limits.SickErrors && len(m.errJobs) > 0
 }
 
+// slow tells whether a machine takes far longer for its tasks than others do for the same jobs.
+func (m *machine) slow() bool {
+	return m.speedN >= limits.SlowTasks && m.speedSum > limits.SlowFactor*float64(m.speedN)
+}
+
 // clearForNotice stops tasks on a machine that the cloud takes away: in time to save, or at once if they cannot be done before.
 func (s *Scheduler) clearForNotice(m *machine) {
 	left := (m.noticeEnd - s.now).Seconds()
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -269,6 +269,48 @@
 	}
 }
 
+// TestFaultyMachines: a machine that fails what others do is returned, and so is one that is far slower; a job that fails everywhere
+// condemns no machine, and waits longer each time.
+func TestFaultyMachines(t *testing.T) {
+	b := newBed(t, 5)
+	for i := range 5 {
+		b.report(i)
+	}
+	b.job("job-1", "red", "standard", 1, 1, 0)
+	b.job("job-2", "red", "standard", 1, 1, 0)
+	j := b.s.jobs["job-1"]
+	m := b.s.machines[b.rig(0)]
+	b.s.failed(j, m)
+	b.s.failed(b.s.jobs["job-2"], m)
+	if !m.sick() {
+		t.Error("not sick after failing two jobs")
+	}
+	for i := 1; i < 5; i++ {
+		b.s.failed(j, b.s.machines[b.rig(i)])
+	}
+	for i := 1; i < 5; i++ {
+		if b.s.machines[b.rig(i)].sick() {
+			t.Errorf("machine %d condemned by a job that fails everywhere", i)
+		}
+	}
+	first := j.backoff
+	b.s.failed(j, b.s.machines[b.rig(1)])
+	if first < limits.JobBackoffMin || j.backoff <= first || j.resume <= b.s.now {
+		t.Errorf("delays %v, then %v", first, j.backoff)
+	}
+	slow := b.s.machines[b.rig(2)]
+	other := b.s.jobs["job-2"]
+	for range 6 {
+		b.s.learn(other, b.s.machines[b.rig(3)], 10)
+	}
+	for range limits.SlowTasks {
+		b.s.learn(other, slow, 60)
+	}
+	if !slow.slow() || b.s.machines[b.rig(3)].slow() {
+		t.Error("slow machine not told from the others")
+	}
+}
+
 // TestSilentIsNotIdle: machines that all fell silent, as when the leader itself is cut off, are not returned as idle.
 func TestSilentIsNotIdle(t *testing.T) {
 	b := newBed(t, 8)
@@ -292,6 +334,11 @@
 	b.report(1)
 	b.job("job-1", "red", "standard", limits.MaxPieces, 0.01, 0)
 	j := b.s.jobs["job-1"]
+	for _, m := range b.s.fleet {
+		if len(m.binds) > limits.MaxTasks {
+			t.Fatalf("%d tasks on %s: its report would be too long", len(m.binds), m.name)
+		}
+	}
 	if len(j.bound) == 0 || len(j.chunks) < 2 {
 		t.Fatalf("%d bound, %d chunks", len(j.bound), len(j.chunks))
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -168,6 +168,12 @@
 	FreshReports = 2.5
 	// SickErrors is how many failures in a row, with no success between, make a machine suspect.
 	SickErrors = 2
+	// SlowTasks and SlowFactor: a machine whose last tasks, at least so many, took this many times as long as the same jobs' tasks elsewhere is
+	// faulty. Healthy machines differ by a tenth; tasks of one job differ more, hence the number.
+	SlowTasks  = 4
+	SlowFactor = 2.5
+	// MaxTasks bounds the tasks on one machine, ended ones included, so that its report stays below MaxBodyBytes.
+	MaxTasks = 400
 	// JobFaultMachines is how many machines must fail a job's tasks before the job itself is held to be faulty.
 	JobFaultMachines = 3
 	// JobBackoffMin and JobBackoffMax bound the growing delay of a job that fails everywhere.
