--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -453,7 +453,6 @@
 	typ   *protocol.Rigkind
 	ready float64 // seconds until it can start a task
 	load  float64 // CPU seconds already promised
-	n     int     // machines of this offer, for new ones
 }
 
 // plan compares the backlog with what the fleet can work off in time, rents what is missing and returns what is idle.
@@ -495,7 +494,7 @@
 	offers = append(offers, s.pendingOffers()...)
 	fresh := map[pool]float64{}
 	for _, j := range s.claims() {
-		s.planJob(j, offers, fresh, &offers)
+		s.planJob(j, fresh, &offers)
 	}
 	pools := make([]pool, 0, len(fresh))
 	for p := range fresh {
@@ -591,7 +590,7 @@
 }
 
 // planJob promises a job's waiting tasks to offers, and adds machines to rent for what is left.
-func (s *Scheduler) planJob(j *job, offers []*offer, fresh map[pool]float64, all *[]*offer) {
+func (s *Scheduler) planJob(j *job, fresh map[pool]float64, all *[]*offer) {
 	est, n := j.estimate(), j.free()
 	horizon := s.horizon(j)
 	// What the team's limit keeps out needs no machine now.
--- a/internal/coordination/scheduler/model.go
+++ b/internal/coordination/scheduler/model.go
@@ -287,7 +287,6 @@
 type poolState struct {
 	until   time.Duration
 	backoff time.Duration
-	losses  float64 // machines lost lately, decaying
 }
 
 // Config is what the scheduler must know.
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -110,8 +110,6 @@
 	PeerIdle = 10 * time.Minute
 	// FinalCache is how many final states a node keeps, so that late polls cost no read.
 	FinalCache = 4096
-	// WriterQueue is how many writes of the leader wait for the state service.
-	WriterQueue = 256
 	// StaleReport is how long a report may wait in our mailbox; the worker drops an answer after 4 s.
 	StaleReport = 3 * time.Second
 )
@@ -238,8 +236,6 @@
 	// DearRatio and DearSlack: a pool that costs this many times the cheapest is used only for jobs with less slack than this.
 	DearRatio = 2.5
 	DearSlack = 60 * time.Second
-	// LossMemory is how long the loss of a spot machine weighs on its pool.
-	LossMemory = 120 * time.Second
 	// HireFraction is the part of a machine that must be wanted before one more is rented while others run.
 	HireFraction = 0.3
 	// RebuildPatience and RebuildReports (in report intervals) are how long after a take-over a machine that may hold tasks may stay unheard of before
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -42,7 +42,7 @@
 
 // run boots the machine and reports until the context ends.
 func (w *worker) run(ctx context.Context) {
-	if !sleep(ctx, time.Duration(w.typ.StartupS*float64(time.Second))) {
+	if !storage.Sleep(ctx, time.Duration(w.typ.StartupS*float64(time.Second))) {
 		return
 	}
 	addr, err := freeAddress()
@@ -93,7 +93,7 @@
 		default:
 			at = (at + 1) % len(names)
 		}
-		if !sleep(ctx, pause) {
+		if !storage.Sleep(ctx, pause) {
 			return
 		}
 	}
@@ -212,17 +212,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // freeAddress finds a free port on the loopback.
 func freeAddress() (string, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -296,6 +296,11 @@
 	}
 	d := b.next/2 + rand.N(b.next)
 	b.next = min(b.next*2, limits.RetryMax)
+	return Sleep(ctx, d)
+}
+
+// Sleep waits and reports whether the context is still alive.
+func Sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
