--- a/internal/transport/http.go
+++ b/internal/transport/http.go
@@ -48,7 +48,8 @@
 	response bool
 	maxBody  int
 	buf      []byte
-	scanned  int // bytes of buf already searched for the end of the head
+	begun    bool // the line before a request was dealt with
+	scanned  int  // bytes of buf already searched for the end of the head
 	phase    phase
 	msg      *Message
 	need     int // bytes still to come in this body or chunk
@@ -109,7 +110,7 @@
 }
 
 func (d *Decoder) reset() {
-	d.phase, d.msg, d.need, d.scanned, d.trailer = phaseHead, nil, 0, 0, 0
+	d.phase, d.msg, d.need, d.scanned, d.trailer, d.begun = phaseHead, nil, 0, 0, 0, false
 }
 
 func (d *Decoder) finish() *Message {
@@ -122,9 +123,14 @@
 	for {
 		switch d.phase {
 		case phaseHead:
-			// One empty line before a request is tolerated, as the standard asks.
-			for !d.response && len(d.buf) >= 2 && d.buf[0] == '\r' && d.buf[1] == '\n' && d.scanned == 0 {
-				d.buf = d.buf[2:]
+			// One empty line before a request is tolerated, as the standard asks. It is decided before anything else is
+			// looked at, so that it does not matter in which pieces it comes.
+			if !d.response && !d.begun {
+				if len(d.buf) == 0 || (len(d.buf) == 1 && d.buf[0] == '\r') {
+					return nil, nil
+				}
+				d.buf = bytes.TrimPrefix(d.buf, []byte("\r\n"))
+				d.begun = true
 			}
 			from := max(0, d.scanned-3)
 			i := bytes.Index(d.buf[from:], []byte("\r\n\r\n"))
--- a/internal/transport/http_test.go
+++ b/internal/transport/http_test.go
@@ -172,6 +172,7 @@
 
 func FuzzDecoder(f *testing.F) {
 	f.Add([]byte("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\nGET / HTTP/1.1\r\n\r\n"), uint8(3))
+	f.Add([]byte("\r\nGET / HTTP/1.1\r\n\r\n\r\n"), uint8(0))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"), uint8(1))
 	f.Fuzz(func(t *testing.T, b []byte, step uint8) {
 		for _, response := range []bool{false, true} {
