--- a/cmd/quillshunt/root.go
+++ b/cmd/quillshunt/root.go
@@ -47,7 +47,7 @@
 		panic(err) // the flag is defined above
 	}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(newCheck(), newVersion())
+	root.AddCommand(newCheck(), newVersion(), newStatus())
 	root.AddCommand(newClient()...)
 	return root
 }
--- a/cmd/quillshunt/serve.go
+++ b/cmd/quillshunt/serve.go
@@ -52,7 +52,7 @@
 	log.Info("starting", "version", version, "listen", s.ClientListen, "peers", len(s.Members))
 	failed := make(chan error, 2)
 	go elector.Run(ctx)
-	go func() { failed <- peer.NewServer(desk, elector).Run(ctx, s.PeerBind) }()
+	go func() { failed <- peer.NewServer(desk, elector, peers).Run(ctx, s.PeerBind) }()
 	go func() { failed <- server.Run(ctx) }()
 	return <-failed
 }
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -14,6 +14,7 @@
 	"quillshunt/internal/config"
 	"quillshunt/internal/coordination/election"
 	"quillshunt/internal/coordination/peer"
+	"quillshunt/internal/coordination/peer/peerpb"
 	"quillshunt/internal/coordination/scheduler"
 	"quillshunt/internal/limits"
 	"quillshunt/internal/protocol"
@@ -68,6 +69,11 @@
 	reply chan scheduler.CountsOut
 }
 
+type inspectMsg struct {
+	job   string
+	reply chan scheduler.Snapshot
+}
+
 // Leads tells whether this process leads.
 func (d *Desk) Leads() bool { return d.term.Load() != nil }
 
@@ -129,6 +135,36 @@
 	}
 }
 
+// Inspect returns how the term stands if this process leads, and why a job waits if one is named.
+func (d *Desk) Inspect(ctx context.Context, job string) (*peerpb.StatusReply, bool) {
+	t := d.term.Load()
+	if t == nil {
+		return nil, false
+	}
+	msg := inspectMsg{job: job, reply: make(chan scheduler.Snapshot, 1)}
+	select {
+	case t.mail <- msg:
+	case <-ctx.Done():
+		return nil, false
+	}
+	var v scheduler.Snapshot
+	select {
+	case v = <-msg.reply:
+	case <-ctx.Done():
+		return nil, false
+	}
+	r := &peerpb.StatusReply{Leader: d.settings.NodeName, Term: v.Term, Entitled: t.m.Entitled(), Rebuilt: v.Rebuilt, Why: v.Why}
+	for _, m := range v.Machines {
+		r.Machines = append(r.Machines, &peerpb.Machine{Name: m.Name, Type: m.Kind, Zone: m.Yard, Spot: m.Spot, State: m.State,
+			Cpus: m.Cpus, Used: m.Used, Tasks: int64(m.Tasks), SilentS: m.Silent.Seconds()})
+	}
+	for _, tv := range v.Teams {
+		r.Teams = append(r.Teams, &peerpb.Team{Name: tv.Name, Used: tv.Used, Guaranteed: tv.Guar, Most: tv.Most,
+			Jobs: int64(tv.Jobs), Bound: int64(tv.Bound), Waiting: int64(tv.Waiting)})
+	}
+	return r, true
+}
+
 // Lead runs a term until its context ends.
 func (d *Desk) Lead(ctx context.Context, m *election.Mandate) {
 	f := &d.settings.Facts
@@ -326,6 +362,8 @@
 				t.step(ctx, scheduler.ReportIn{Report: msg.r, Ref: msg.reply, Entitled: fresh && t.m.Entitled(), Relayed: msg.relayed})
 			case countsMsg:
 				t.step(ctx, scheduler.CountsIn{ID: msg.job, Ref: msg.reply})
+			case inspectMsg:
+				t.step(ctx, scheduler.InspectIn{Job: msg.job, Ref: msg.reply})
 			case scheduler.Event:
 				t.step(ctx, msg)
 			}
@@ -364,6 +402,8 @@
 			go t.types(ctx)
 		case scheduler.CountsOut:
 			eff.Ref.(chan scheduler.CountsOut) <- eff
+		case scheduler.InspectOut:
+			eff.Ref.(chan scheduler.Snapshot) <- eff.Snapshot
 		case scheduler.Note:
 			t.log.Log(ctx, eff.Level, eff.Msg, eff.Args...)
 		}
--- a/internal/coordination/peer/peer.go
+++ b/internal/coordination/peer/peer.go
@@ -25,6 +25,8 @@
 	Counts(ctx context.Context, job string) (Counts, bool)
 	// Relayed takes a worker's report that came through another controller.
 	Relayed(ctx context.Context, report []byte) (status int, body []byte)
+	// Inspect tells how the term stands if this process leads.
+	Inspect(ctx context.Context, job string) (*peerpb.StatusReply, bool)
 }
 
 // Candidate is the part of this process that takes part in elections.
@@ -33,24 +35,29 @@
 	Able(ctx context.Context) bool
 	// Take is told that the term of that leader key is over.
 	Take(term, stamp uint64)
+	// Leader is the name of the leader as far as known, or "".
+	Leader() string
 }
 
 // Server answers other controllers.
 type Server struct {
 	peerpb.UnimplementedPeerServer
+	peerpb.UnimplementedOperatorServer
+	peers     *Peers
 	local     Local
 	candidate Candidate
 	grpc      *grpc.Server
 }
 
 // NewServer returns a Server for the local process.
-func NewServer(local Local, candidate Candidate) *Server {
-	s := &Server{local: local, candidate: candidate, grpc: grpc.NewServer(
+func NewServer(local Local, candidate Candidate, peers *Peers) *Server {
+	s := &Server{peers: peers, local: local, candidate: candidate, grpc: grpc.NewServer(
 		grpc.MaxRecvMsgSize(limits.MaxBodyBytes),
 		grpc.MaxConcurrentStreams(limits.PeerStreams),
 		grpc.NumStreamWorkers(0),
 	)}
 	peerpb.RegisterPeerServer(s.grpc, s)
+	peerpb.RegisterOperatorServer(s.grpc, s)
 	return s
 }
 
@@ -91,6 +98,37 @@
 	return &peerpb.TakeReply{}, nil
 }
 
+// Status implements the operators' service.
+func (s *Server) Status(ctx context.Context, r *peerpb.StatusRequest) (*peerpb.StatusReply, error) {
+	if v, ok := s.local.Inspect(ctx, r.GetJob()); ok {
+		return v, nil
+	}
+	leader := s.candidate.Leader()
+	conn := s.peers.conns[leader]
+	if r.GetPassedOn() || conn == nil {
+		return &peerpb.StatusReply{}, nil
+	}
+	v, err := peerpb.NewOperatorClient(conn).Status(ctx, &peerpb.StatusRequest{Job: r.GetJob(), PassedOn: true})
+	if err != nil {
+		return &peerpb.StatusReply{Leader: leader}, nil // known, but it does not answer
+	}
+	return v, nil
+}
+
+// AskStatus asks the controller at an address.
+func AskStatus(ctx context.Context, addr, job string) (*peerpb.StatusReply, error) {
+	conn, err := grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		return nil, fmt.Errorf("controller %s: %w", addr, err)
+	}
+	defer conn.Close()
+	r, err := peerpb.NewOperatorClient(conn).Status(ctx, &peerpb.StatusRequest{Job: job})
+	if err != nil {
+		return nil, fmt.Errorf("controller %s: %w", addr, err)
+	}
+	return r, nil
+}
+
 // Peers are the other controllers.
 type Peers struct{ conns map[string]*grpc.ClientConn }
 
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -311,6 +312,35 @@
 	}
 }
 
+// TestWhy: operators are told what a waiting job waits for.
+func TestWhy(t *testing.T) {
+	b := newBed(t, 2)
+	ask := func(id string) string {
+		for _, e := range b.step(InspectIn{Job: id}) {
+			if o, ok := e.(InspectOut); ok {
+				return strings.Join(o.Snapshot.Why, "; ")
+			}
+		}
+		return ""
+	}
+	b.job("job-1", "red", "standard", 200, 1, 0)
+	if got := ask("job-1"); !strings.Contains(got, "does not know yet") {
+		t.Errorf("while rebuilding: %s", got)
+	}
+	b.report(0)
+	b.report(1)
+	if got := ask("job-1"); !strings.Contains(got, "16 on machines") || !strings.Contains(got, "0 of these with room") {
+		t.Errorf("full: %s", got)
+	}
+	b.job("job-2", "blue", "standard", 1, 101, 0)
+	if got := ask("job-2"); !strings.Contains(got, "team blue uses 0 of at most 100") || !strings.Contains(got, "0 of them allowed") {
+		t.Errorf("too large: %s", got)
+	}
+	if got := ask("job-3"); !strings.Contains(got, "not among") {
+		t.Errorf("unknown: %s", got)
+	}
+}
+
 // TestSilentIsNotIdle: machines that all fell silent, as when the leader itself is cut off, are not returned as idle.
 func TestSilentIsNotIdle(t *testing.T) {
 	b := newBed(t, 8)
--- a/internal/coordination/scheduler/step.go
+++ b/internal/coordination/scheduler/step.go
@@ -68,6 +68,8 @@
 		s.typesDone(e)
 	case CountsIn:
 		s.counts(e)
+	case InspectIn:
+		s.inspect(e)
 	case Tick:
 		s.tick(e.Entitled)
 	}
