--- a/internal/coordination/election/election_test.go
+++ b/internal/coordination/election/election_test.go
@@ -129,6 +129,8 @@
 	leads  *Mandate
 	e      *Elector
 	others *[]*node
+	life   time.Duration
+	mute   bool // does not speak with the others
 }
 
 // Able and Take reach the other nodes directly; what is said may be lost or late.
@@ -168,7 +170,7 @@
 func (n *node) start(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel, n.done = cancel, make(chan struct{})
-	e := New(n.name, n.store, limits.HoldLife, func(ctx context.Context, m *Mandate) {
+	e := New(n.name, n.store, n.life, func(ctx context.Context, m *Mandate) {
 		n.mu.Lock()
 		n.leads = m
 		n.mu.Unlock()
@@ -177,7 +179,9 @@
 		n.leads = nil
 		n.mu.Unlock()
 	}, slog.New(slog.DiscardHandler))
-	e.Peers = n
+	if !n.mute {
+		e.Peers = n
+	}
 	n.mu.Lock()
 	n.e = e
 	n.mu.Unlock()
@@ -212,13 +216,14 @@
 			s := standin.NewState()
 			var nodes []*node
 			for i := range 3 {
-				n := &node{name: fmt.Sprintf("rig-%d", i), store: &flaky{s: s, r: rand.New(rand.NewPCG(seed, uint64(10+i))), lossy: 0.1}, others: &nodes}
+				n := &node{name: fmt.Sprintf("rig-%d", i), store: &flaky{s: s, r: rand.New(rand.NewPCG(seed, uint64(10+i))), lossy: 0.1}, others: &nodes, life: 10 * time.Second, mute: seed%2 == 0}
 				nodes = append(nodes, n)
 			}
 			for _, n := range nodes {
 				n.start(t)
 			}
 			var top uint64
+			terms := map[uint64]*Mandate{}
 			check := func() {
 				var who []string
 				for _, n := range nodes {
@@ -228,6 +233,12 @@
 							t.Fatalf("seed %d: term %d after %d", seed, m.Term, top)
 						}
 						top = m.Term
+						if terms[m.Term] == nil {
+							terms[m.Term] = m
+						}
+						if terms[m.Term] != m {
+							t.Fatalf("seed %d: term %d used twice", seed, m.Term)
+						}
 					}
 				}
 				if len(who) > 1 {
@@ -283,7 +294,7 @@
 func TestRestartTakesOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := standin.NewState()
-		n := &node{name: "rig-0", store: &flaky{s: s, r: rand.New(rand.NewPCG(1, 1))}, others: &[]*node{}}
+		n := &node{name: "rig-0", store: &flaky{s: s, r: rand.New(rand.NewPCG(1, 1))}, others: &[]*node{}, life: limits.HoldLife}
 		n.start(t)
 		time.Sleep(3 * time.Second)
 		first := n.entitled()
@@ -307,7 +318,7 @@
 		s := standin.NewState()
 		var nodes []*node
 		for i := range 2 {
-			nodes = append(nodes, &node{name: fmt.Sprintf("rig-%d", i), store: &flaky{s: s, r: rand.New(rand.NewPCG(2, uint64(i)))}, others: &nodes})
+			nodes = append(nodes, &node{name: fmt.Sprintf("rig-%d", i), store: &flaky{s: s, r: rand.New(rand.NewPCG(2, uint64(i)))}, others: &nodes, life: limits.HoldLife})
 		}
 		nodes[0].start(t)
 		time.Sleep(3 * time.Second)
@@ -323,7 +334,11 @@
 		nodes[0].store.mu.Lock()
 		nodes[0].store.alone = time.Now().Add(time.Hour)
 		nodes[0].store.mu.Unlock()
+		old := nodes[0].entitled()
 		time.Sleep(limits.HoldLife / 2)
+		if old == nil || old.Entitled() {
+			t.Fatal("still entitled after handing over")
+		}
 		if nodes[0].entitled() != nil || nodes[1].entitled() == nil {
 			t.Fatal("not handed over")
 		}
@@ -332,3 +347,13 @@
 		}
 	})
 }
+
+// TestMargins: our entitlement ends before the hold can, and others' leases are waited out for longer than they can last, whatever the clocks do.
+func TestMargins(t *testing.T) {
+	for _, d := range []time.Duration{limits.HoldLifeMin, 14 * time.Second, limits.HoldLifeMax} {
+		drift := time.Duration(float64(d) * limits.DriftShare)
+		if limits.Entitled(d) >= d-2*drift || limits.WaitOut(d) <= d+2*drift {
+			t.Errorf("%v: entitled %v, waited out %v", d, limits.Entitled(d), limits.WaitOut(d))
+		}
+	}
+}
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -312,6 +312,25 @@
 	}
 }
 
+// TestNotEntitled: who may not act answers no report with 200, and takes nothing from it that would count as a renewed lease; so with a worker that
+// has seen a later leader.
+func TestNotEntitled(t *testing.T) {
+	b := newBed(t, 1)
+	r := &protocol.Report{Rig: b.rig(0), Address: "x:1", Rigkind: "s8", Yard: "a", Shift: 1, Tally: 50, Baton: 3}
+	later := *r
+	later.Baton = 4
+	for _, e := range []ReportIn{{Report: r}, {Report: &later, Entitled: true}} {
+		for _, eff := range b.step(e) {
+			if x, ok := eff.(ReplyOut); ok && x.OK {
+				t.Errorf("answered: %+v", e)
+			}
+		}
+	}
+	if m := b.s.machines[b.rig(0)]; m.seen || m.leaseBase > 0 {
+		t.Errorf("counted as heard: %+v", m)
+	}
+}
+
 // TestWhy: operators are told what a waiting job waits for.
 func TestWhy(t *testing.T) {
 	b := newBed(t, 2)
