--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -404,7 +404,7 @@
 			if s.now > max(m.created, s.took)+patience {
 				s.remove(m, "never came up")
 			}
-		case quiet(m) && (!crowd || s.now > m.heard+4*limits.WaitOut(s.lease)):
+		case quiet(m) && (!crowd || s.now > m.heard+limits.CrowdLeases*limits.WaitOut(s.lease)):
 			s.remove(m, "silent")
 		case m.sick():
 			s.remove(m, "fails its tasks")
@@ -468,8 +468,8 @@
 		o := &offer{m: m, p: pool{m.kind, m.yard, m.spot}, typ: m.typ}
 		if !m.seen {
 			age := (s.now - m.created).Seconds()
-			if o.ready = m.typ.StartupS*1.1 - age; o.ready < 0 {
-				if age > 2.5*m.typ.StartupS+5 {
+			if o.ready = m.typ.StartupS*limits.BootReckon - age; o.ready < 0 {
+				if age > limits.BootHope*m.typ.StartupS {
 					continue // it may never come up; plan without it
 				}
 				o.ready = 2
@@ -480,7 +480,7 @@
 		for _, b := range m.binds {
 			left := b.j.estimate()
 			if b.phase == running {
-				left = max(left-(s.now-b.runAt).Seconds(), 0.1*left)
+				left = max(left-(s.now-b.runAt).Seconds(), limits.LeastLeft*left)
 			}
 			o.load += left * b.j.need.cpu
 		}
@@ -558,7 +558,7 @@
 		return x.used.cpu/max(x.size().cpu, 1) < y.used.cpu/max(y.size().cpu, 1)
 	})
 	for _, m := range ms {
-		if free := m.freeRoom().cpu; free > 0 && m.size().cpu <= surplus && s.now > m.created+limits.LeastCharge/2 {
+		if free := m.freeRoom().cpu; free > 0 && m.size().cpu <= surplus && s.now > m.created+limits.DrainAge {
 			m.drain = true
 			surplus -= m.size().cpu
 		}
@@ -574,7 +574,7 @@
 			continue
 		}
 		for range h.rec.Number {
-			out = append(out, &offer{p: pool{h.rec.Rigkind, h.rec.Yard, h.rec.Lendable}, typ: t, ready: t.StartupS * 1.1})
+			out = append(out, &offer{p: pool{h.rec.Rigkind, h.rec.Yard, h.rec.Lendable}, typ: t, ready: t.StartupS * limits.BootReckon})
 		}
 	}
 	return out
@@ -595,7 +595,7 @@
 	horizon := s.horizon(j)
 	// What the team's limit keeps out needs no machine now.
 	if j.need.cpu > 0 {
-		n = min(n, int((j.team.cfg.CPUsMax-j.team.used.cpu)/j.need.cpu+1e-6))
+		n = min(n, int((j.team.cfg.CPUsMax-j.team.used.cpu)/j.need.cpu+limits.Epsilon))
 	}
 	if n <= 0 {
 		return
@@ -615,7 +615,7 @@
 		if t == nil {
 			return
 		}
-		o := &offer{p: p, typ: t, ready: t.StartupS * 1.1}
+		o := &offer{p: p, typ: t, ready: t.StartupS * limits.BootReckon}
 		got := o.take(j, n, est, max(horizon, o.ready+est))
 		if got == 0 {
 			return
@@ -646,7 +646,7 @@
 		cpu = size.cpu / float64(per)
 	}
 	avail := (horizon-o.ready)*size.cpu - o.load
-	k := min(n, int(avail/(cpu*est)+1e-6), per*max(1, int((horizon-o.ready)/est)))
+	k := min(n, int(avail/(cpu*est)+limits.Epsilon), per*max(1, int((horizon-o.ready)/est)))
 	if k <= 0 {
 		return 0
 	}
@@ -669,7 +669,7 @@
 	if need.ram > 0 {
 		n = min(n, size.ram/need.ram)
 	}
-	return int(min(n+1e-6, 1000))
+	return int(min(n+limits.Epsilon, limits.MaxTasks))
 }
 
 // cheapestPool is where a machine for the job costs least for each task it holds, among the pools that are not known to be empty.
@@ -695,7 +695,7 @@
 					price = t.MarketPrice
 				}
 				// Spread over zones where all else is equal.
-				cost := price/float64(per)*(1+0.001*float64(s.inZone(y))) + 1e-9
+				cost := price / float64(per) * (1 + limits.ZoneSpread*float64(s.inZone(y)))
 				floor = min(floor, cost)
 				st := s.pools[p]
 				if st != nil && s.now < st.until {
--- a/internal/coordination/scheduler/model.go
+++ b/internal/coordination/scheduler/model.go
@@ -30,7 +30,7 @@
 
 // holds tells whether b fits into a, but for rounding.
 func (a room) holds(b room) bool {
-	const eps = 1e-6
+	const eps = limits.Epsilon
 	return b.cpu <= a.cpu+eps && b.gpu <= a.gpu+eps && b.ram <= a.ram+eps
 }
 
@@ -152,9 +152,9 @@
 // estimate is how long a task of the job is expected to run.
 func (j *job) estimate() float64 {
 	if j.runN >= 2 {
-		return max(j.runSum/float64(j.runN), 0.5)
+		return max(j.runSum/float64(j.runN), limits.ShortestRun)
 	}
-	return max(j.spec.ReckonS*j.class.ratio, 0.5)
+	return max(j.spec.ReckonS*j.class.ratio, limits.ShortestRun)
 }
 
 type team struct {
@@ -165,13 +165,13 @@
 
 // fits tells whether the team may use that much more.
 func (t *team) fits(r room) bool {
-	const eps = 1e-6
+	const eps = limits.Epsilon
 	return t.used.cpu+r.cpu <= t.cfg.CPUsMax+eps && t.used.gpu+r.gpu <= t.cfg.GPUsMax+eps
 }
 
 // borrows tells whether the team uses more than its guarantee.
 func (t *team) borrows() bool {
-	const eps = 1e-6
+	const eps = limits.Epsilon
 	return t.used.cpu > t.cfg.CPUs+eps || t.used.gpu > t.cfg.GPUs+eps
 }
 
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -45,7 +45,7 @@
 		}
 		return s.queue[a].id < s.queue[b].id
 	})
-	const eps = 1e-6
+	const eps = limits.Epsilon
 	for _, j := range s.queue {
 		n := float64(j.spec.Pieces - j.doneN)
 		if j.cancelled {
@@ -114,7 +114,7 @@
 			if left > 0 {
 				return left, false
 			}
-		} else if left -= est; left > -est/4 {
+		} else if left -= est; left > -time.Duration(limits.LateShare*float64(est)) {
 			return left, false // a little late by the estimate may still be in time
 		}
 	}
@@ -233,7 +233,7 @@
 			}
 		}
 		if _, ok := m.images[j.spec.Bundle]; !ok {
-			c.scores[weighImage] = -j.spec.SizeGb / max(m.typ.PullGbPerS, 1e-3)
+			c.scores[weighImage] = -j.spec.SizeGb / max(m.typ.PullGbPerS, limits.SlowestPull)
 		}
 		left := free.minus(j.need)
 		c.scores[weighPack] = -left.cpu
@@ -380,7 +380,7 @@
 		if short.ram > 0 {
 			u += min(v.need.ram, short.ram) / short.ram
 		}
-		return max(u, 1e-9)
+		return max(u, limits.Epsilon)
 	}
 	order := make([]int, len(options))
 	for i := range order {
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -437,7 +437,7 @@
 			need -= (s.now - b.runAt).Seconds()
 		}
 		if b.j.spec.BookmarkS > 0 {
-			if left < b.j.spec.StashS+3*s.report.Seconds() {
+			if left < b.j.spec.StashS+limits.NoticeReports*s.report.Seconds() {
 				s.stopBinding(b, "spot notice")
 			}
 		} else if need > left {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -196,8 +196,23 @@
 	// FlushEvery is how often one chunk of finished tasks is written at most. What is not written yet is
 	// kept by the workers, so this only bounds how long they list it.
 	FlushEvery = 3 * time.Second
+	// FinFrame is what a record of finished tasks needs beside the bitmap, in bytes, rounded up.
+	FinFrame = 128
 	// FlushInFlight is how many chunk writes may wait for an answer at once.
 	FlushInFlight = 4
+	// Epsilon is the rounding that is forgiven when amounts are compared; the protocol's amounts have a few decimals.
+	Epsilon = 1e-6
+	// LateShare is the share of its run time by which a job may be late by the estimate and still be tried: estimates are often too high.
+	LateShare = 0.25
+	// SlowestPull is the slowest image fetch that is reckoned with, in GB a second.
+	SlowestPull = 1e-3
+	// ShortestRun is the least run time that is expected of a task, in seconds, so that no estimate is 0.
+	ShortestRun = 0.5
+	// LeastLeft is the least share of its run time that a task is held to need still, however long it has run.
+	LeastLeft = 0.1
+	// NoticeReports is how many report intervals before a machine is taken its tasks are told to save: one for the order, one for a lost
+	// message, one in reserve.
+	NoticeReports = 3
 	// RestartWeight makes a task costlier to stop for each time it was stopped before.
 	RestartWeight = 4.0
 )
@@ -226,6 +241,16 @@
 	BootPatience = 5.0
 	// BootPatienceMin is the least patience with a boot.
 	BootPatienceMin = 60 * time.Second
+	// BootReckon is how many nominal boot times a machine is reckoned to take; usual are 0.6 to 1.5. BootHope is how many are planned with; the few that take longer
+	// or never come are planned without.
+	BootReckon = 1.1
+	BootHope   = 2.75
+	// DrainAge is how old a machine must be before it is emptied, as it is charged for a minute anyway.
+	DrainAge = LeastCharge / 2
+	// ZoneSpread makes a pool dearer for each machine in its zone, just enough to spread over zones where all else is equal.
+	ZoneSpread = 0.001
+	// CrowdLeases is how many leases machines that fell silent in a crowd are kept.
+	CrowdLeases = 4
 	// CapacityBackoffMin and CapacityBackoffMax bound the pause after a refusal for one type, zone and kind.
 	CapacityBackoffMin = 5 * time.Second
 	CapacityBackoffMax = 40 * time.Second
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 
+	"quillshunt/internal/limits"
 	"quillshunt/internal/protocol"
 )
 
@@ -95,8 +96,7 @@
 
 // ChunkTasks is how many tasks a chunk holds so that its record stays below the value limit.
 func ChunkTasks(valueKB float64) int {
-	const frame = 128 // bytes of field names and the base number, rounded up
-	chars := int(valueKB*1024) - frame
+	chars := int(valueKB*1024) - limits.FinFrame
 	n := chars / 4 * 3 * 8 // base64 carries three bytes in four characters
 	return max(n/64*64, 64)
 }
