Estimates not biased to the first done; fetches count in the plan

The first tasks of a job to be done are its shortest; alone they made the rest look short to the plan.

--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -478,8 +478,9 @@
 			continue
 		}
 		for _, b := range m.binds {
-			left := b.j.estimate()
+			left := b.j.occupies()
 			if b.phase == running {
+				left = b.j.estimate()
 				left = max(left-(s.now-b.runAt).Seconds(), limits.LeastLeft*left)
 			}
 			o.load += left * b.j.need.cpu
@@ -586,12 +587,12 @@
 	if slack, late := s.slack(j); !late && slack != never {
 		wait = min(max(slack.Seconds(), 0)*s.cfg.Options.Fleet.SlackShare, time.Duration(s.cfg.Options.Fleet.LongestWait).Seconds())
 	}
-	return wait + j.estimate()
+	return wait + j.occupies()
 }
 
 // planJob promises a job's waiting tasks to offers, and adds machines to rent for what is left.
 func (s *Scheduler) planJob(j *job, fresh map[pool]float64, all *[]*offer) {
-	est, n := j.estimate(), j.free()
+	est, n := j.occupies(), j.free()
 	horizon := s.horizon(j)
 	// What the team's limit keeps out needs no machine now.
 	if j.need.cpu > 0 {
--- a/internal/coordination/scheduler/model.go
+++ b/internal/coordination/scheduler/model.go
@@ -147,16 +147,21 @@
 type class struct {
 	ratio float64 // real run time over the owner's estimate
 	n     int
+	fetch float64 // mean wait for an image, in seconds
+	seen  int
 }
 
-// estimate is how long a task of the job is expected to run.
+// estimate is how long a task of the job is expected to run. The tasks that are done weigh against those on machines, which count as what is
+// known of the class: the first to be done are the shortest, and alone they would make the rest look short.
 func (j *job) estimate() float64 {
-	if j.runN >= 2 {
-		return max(j.runSum/float64(j.runN), limits.ShortestRun)
-	}
-	return max(j.spec.ReckonS*j.class.ratio, limits.ShortestRun)
+	prior := j.spec.ReckonS * j.class.ratio
+	open := float64(len(j.bound) + limits.PriorTasks)
+	return max((j.runSum+prior*open)/(float64(j.runN)+open), limits.ShortestRun)
 }
 
+// occupies is how long a task is expected to take room: its run time and the wait for its image.
+func (j *job) occupies() float64 { return j.estimate() + j.class.fetch }
+
 type team struct {
 	cfg     config.Team
 	used    room
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -325,6 +325,9 @@
 	case protocol.Running:
 		if b.phase != running {
 			b.phase, b.runAt = running, s.now
+			c := b.j.class
+			c.seen++
+			c.fetch += max(1/float64(c.seen), limits.LearnWeight) * ((s.now - b.at).Seconds() - c.fetch)
 			b.m.fetched += (s.now - b.at).Seconds() * b.j.need.cpu
 			s.emit(Note{Level: slog.LevelDebug, Msg: "task running", Args: []any{"job", b.j.id, "class", b.j.spec.Docket, "task", b.idx, "machine", b.m.name,
 				"age", (s.now - b.j.at).Seconds(), "queued", (b.at - b.j.at).Seconds(), "fetch", (s.now - b.at).Seconds(), "gb", b.j.spec.SizeGb}})
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -206,6 +206,8 @@
 	LateShare = 0.25
 	// SlowestPull is the slowest image fetch that is reckoned with, in GB a second.
 	SlowestPull = 1e-3
+	// PriorTasks is how many tasks' worth of weight the class's run time has in a job's estimate beside the tasks on machines.
+	PriorTasks = 2
 	// ShortestRun is the least run time that is expected of a task, in seconds, so that no estimate is 0.
 	ShortestRun = 0.5
 	// LeastLeft is the least share of its run time that a task is held to need still, however long it has run.
