--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -453,12 +453,8 @@
 	typ   *protocol.Rigkind
 	ready float64 // seconds until it can start a task
 	load  float64 // CPU seconds already promised
-	busy  []span  // by tasks that are there, or are promised
 }
 
-// span is room that is taken for a while.
-type span struct{ cpu, until float64 }
-
 // plan compares the backlog with what the fleet can work off in time, rents what is missing and returns what is idle.
 func (s *Scheduler) plan() {
 	var offers []*offer
@@ -488,7 +484,6 @@
 				left = max(left-(s.now-b.runAt).Seconds(), limits.LeastLeft*left)
 			}
 			o.load += left * b.j.need.cpu
-			o.busy = append(o.busy, span{cpu: b.j.need.cpu, until: left})
 		}
 		offers = append(offers, o)
 	}
@@ -651,23 +646,12 @@
 	if cpu <= 0 {
 		cpu = size.cpu / float64(per)
 	}
-	// Two bounds: the CPU seconds left until the horizon, and the room there is at the latest start that still meets it. By the first
-	// alone, a machine that is full for most of that time would seem to have room for long tasks.
 	avail := (horizon-o.ready)*size.cpu - o.load
-	latest := horizon - est
-	room := size.cpu
-	for _, b := range o.busy {
-		if b.until > latest {
-			room -= b.cpu
-		}
-	}
-	starts := int(room/cpu+limits.Epsilon) + per*int(max(latest-o.ready, 0)/est)
-	k := min(n, int(avail/(cpu*est)+limits.Epsilon), starts, per*max(1, int((horizon-o.ready)/est)))
+	k := min(n, int(avail/(cpu*est)+limits.Epsilon), per*max(1, int((horizon-o.ready)/est)))
 	if k <= 0 {
 		return 0
 	}
 	o.load += float64(k) * cpu * est
-	o.busy = append(o.busy, span{cpu: float64(min(k, per)) * cpu, until: o.ready + est})
 	if o.m != nil {
 		o.m.wanted = true
 	}
