A body over the limit is answered 400, and the answer arrives

It was answered 413, which users retry for a minute. The connection was also closed with bytes still coming in, which resets it before the answer is read; what is left of the body is now thrown away.

--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -137,6 +137,7 @@
 		{"no id of a run", "GET", "/v2/runs/x", nil, 404, ""},
 		{"cancel of an unknown run", "POST", "/v2/runs/job-1/cancel", nil, 404, ""},
 		{"not CBOR", "POST", "/v2/runs", []byte("{}x"), 400, ""},
+		{"body over the limit", "POST", "/v2/runs", make([]byte, 40*limits.MaxBodyBytes), 400, ""},
 		{"record over the value limit", "POST", "/v2/runs", run("job-1", map[string]any{"Rigkinds": many}), 400, ""},
 		{"unknown team", "POST", "/v2/runs", run("job-1", map[string]any{"Crew": "nobody"}), 422, ""},
 		{"over the team's limit", "POST", "/v2/runs", run("job-1", map[string]any{"Crew": "tiny"}), 422, ""},
--- a/internal/transport/http.go
+++ b/internal/transport/http.go
@@ -423,7 +423,7 @@
 
 var statusText = map[int]string{
 	200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-	409: "Conflict", 413: "Content Too Large", 421: "Misdirected Request", 422: "Unprocessable Content",
+	409: "Conflict", 421: "Misdirected Request", 422: "Unprocessable Content",
 	429: "Too Many Requests", 500: "Internal Server Error", 503: "Service Unavailable",
 }
 
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"sync"
@@ -32,6 +33,7 @@
 	busy    bool // a request is being worked on
 	last    time.Time
 	closing bool
+	refused bool // answered, but its sender is not done sending
 
 	mu   sync.Mutex
 	out  []byte
@@ -136,7 +138,7 @@
 	now := time.Now()
 	for ec, c := range s.conns {
 		limit := limits.IdleConn
-		if !c.busy && c.dec.Started() {
+		if c.refused || (!c.busy && c.dec.Started()) {
 			limit = limits.SlowRequest
 		}
 		if now.Sub(c.last) > limit {
@@ -148,6 +150,9 @@
 
 // data handles new bytes (in is nil on a wake): first an answer that is ready, then the next request.
 func (s *Server) data(ec evio.Conn, c *inbound, in []byte) ([]byte, evio.Action) {
+	if c.refused {
+		return nil, evio.None
+	}
 	if len(in) > 0 {
 		if !c.dec.Started() {
 			c.last = time.Now()
@@ -180,12 +185,16 @@
 		}
 		req, err := c.dec.Next()
 		if err != nil {
-			c.closing = true
-			status := 400
-			if err == ErrTooLarge {
-				status = 413
+			// Also for what is too long: any other status would make a user try again in vain.
+			out := AppendResponse(nil, 400, nil, 0, true)
+			if errors.Is(err, ErrTooLarge) {
+				// Closing now, with bytes still coming in, would reset the connection before the answer is read. The
+				// rest is thrown away until the sender closes, or for a while.
+				c.refused = true
+				return out, evio.None
 			}
-			return AppendResponse(nil, status, nil, 0, true), evio.Close
+			c.closing = true
+			return out, evio.Close
 		}
 		if req == nil {
 			return nil, evio.None
