One piece of code where there were two, and no state that nobody reads

No change of behaviour. Merged: the check for old messages, whether a result is durable, the size of a type, pending rentals, crowds, unclear starts, redirects of workers, and questions to the term's actor. Gone: fields that were set and never read, a fixed clock and a copied limit in the stand-ins. The queue is kept in order when a job comes instead of sorted in every placement pass, and the check for cancelled tasks no longer sorts each machine's tasks at every tick.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -199,16 +199,16 @@
 		if name == g.Node {
 			name = ""
 		}
-		if name != "" && time.Now().UnixNano() < g.cutTill.Load() {
-			// We cannot reach the leader either, so the worker may try another node.
-			rsp.Respond(421, protocol.Encode(protocol.Redirect{}), 0)
+		if name == "" || time.Now().UnixNano() < g.cutTill.Load() {
+			// We know of no leader or cannot reach it either, so the worker may try another node.
+			redirect(rsp, "")
 			return
 		}
 		select {
 		case g.relays <- struct{}{}:
 			go g.relay(name, req.Body, rsp)
 		default:
-			rsp.Respond(421, protocol.Encode(protocol.Redirect{Foreman: name}), 0)
+			redirect(rsp, name)
 		}
 		return
 	}
@@ -224,20 +224,21 @@
 // network between its zone and the leader's is cut, the leader answers its reports through us.
 func (g *Gateway) relay(name string, body []byte, rsp *transport.Responder) {
 	defer func() { <-g.relays }()
-	if name == "" {
-		rsp.Respond(421, protocol.Encode(protocol.Redirect{}), 0)
-		return
-	}
 	status, answer, err := g.Peers.Relay(g.ctx, name, body)
 	if err != nil {
 		g.cutTill.Store(time.Now().Add(limits.CutPause).UnixNano())
 		g.Log.Debug("leader not reached", "leader", name, "err", err)
-		rsp.Respond(421, protocol.Encode(protocol.Redirect{}), 0)
+		redirect(rsp, "")
 		return
 	}
 	rsp.Respond(status, answer, 0)
 }
 
+// redirect sends a worker to a node, or with no name to the next one.
+func redirect(rsp *transport.Responder, name string) {
+	rsp.Respond(421, protocol.Encode(protocol.Redirect{Foreman: name}), 0)
+}
+
 type problem struct {
 	Error string `cbor:"error"`
 }
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -113,26 +113,32 @@
 	}
 }
 
-// Counts returns a job's counts if this process leads.
-func (d *Desk) Counts(ctx context.Context, job string) (peer.Counts, bool) {
-	t := d.term.Load()
-	if t == nil {
-		return peer.Counts{}, false
-	}
-	ctx, cancel := context.WithTimeout(ctx, limits.PeerTimeout)
-	defer cancel()
-	msg := countsMsg{job: job, reply: make(chan scheduler.CountsOut, 1)}
+// ask leaves a question for the actor and waits for the answer.
+func ask[T any](ctx context.Context, t *term, msg any, reply <-chan T) (answer T, ok bool) {
 	select {
 	case t.mail <- msg:
 	case <-ctx.Done():
-		return peer.Counts{}, false
+		return answer, false
 	}
 	select {
-	case c := <-msg.reply:
-		return peer.Counts{Done: c.Done, Running: c.Running}, c.Known
+	case answer = <-reply:
+		return answer, true
 	case <-ctx.Done():
+		return answer, false
+	}
+}
+
+// Counts returns a job's counts if this process leads.
+func (d *Desk) Counts(ctx context.Context, job string) (peer.Counts, bool) {
+	t := d.term.Load()
+	if t == nil {
 		return peer.Counts{}, false
 	}
+	ctx, cancel := context.WithTimeout(ctx, limits.PeerTimeout)
+	defer cancel()
+	reply := make(chan scheduler.CountsOut, 1)
+	c, ok := ask(ctx, t, countsMsg{job: job, reply: reply}, reply)
+	return peer.Counts{Done: c.Done, Running: c.Running}, ok && c.Known
 }
 
 // Inspect returns how the term stands if this process leads, and why a job waits if one is named.
@@ -141,16 +147,9 @@
 	if t == nil {
 		return nil, false
 	}
-	msg := inspectMsg{job: job, reply: make(chan scheduler.Snapshot, 1)}
-	select {
-	case t.mail <- msg:
-	case <-ctx.Done():
-		return nil, false
-	}
-	var v scheduler.Snapshot
-	select {
-	case v = <-msg.reply:
-	case <-ctx.Done():
+	reply := make(chan scheduler.Snapshot, 1)
+	v, ok := ask(ctx, t, inspectMsg{job: job, reply: reply}, reply)
+	if !ok {
 		return nil, false
 	}
 	r := &peerpb.StatusReply{Leader: d.settings.NodeName, Term: v.Term, Entitled: t.m.Entitled(), Rebuilt: v.Rebuilt, Why: v.Why}
--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -228,14 +228,12 @@
 			if r.AgeS < (3 * s.cfg.ListLag).Seconds() {
 				continue // perhaps the answer to a rental of ours is on its way
 			}
-			if s.now < s.took+limits.WaitOut(s.lease) || r.Standing == protocol.RigRunning {
-				m = s.machine(r.NameId, r.Rigkind, r.Yard, r.Lendable)
-				m.created = s.now - limits.Seconds(r.AgeS)
-				s.cover(m)
-			}
-			if m == nil {
+			if s.now >= s.took+limits.WaitOut(s.lease) && r.Standing != protocol.RigRunning {
 				continue
 			}
+			m = s.machine(r.NameId, r.Rigkind, r.Yard, r.Lendable)
+			m.created = s.now - limits.Seconds(r.AgeS)
+			s.cover(m)
 		}
 		if !m.listed {
 			m.created = min(m.created, s.now-limits.Seconds(r.AgeS))
@@ -361,6 +359,11 @@
 	s.note(false, "summary", "up", up, "booting", booting, "cpus", total, "used", used, "jobs", len(s.queue), "waiting", waiting, "bound", bound, "settled", s.settled)
 }
 
+// crowded tells whether so many of all machines at once must have a common cause.
+func crowded(n, all int) bool {
+	return n > limits.CrowdLeast && float64(n) > limits.SilentCrowd*float64(all)
+}
+
 // dropBroken returns machines that do not serve: never up, silent, sick.
 func (s *Scheduler) dropBroken() {
 	silent, up, unheard := 0, 0, 0
@@ -378,10 +381,10 @@
 			unheard++
 		}
 	}
-	lost := unheard > 3 && float64(unheard) > limits.SilentCrowd*float64(unheard+up)
+	lost := crowded(unheard, unheard+up)
 	// Many machines falling silent together is a cut, not a series of deaths: they may come back, sooner than others would boot. Counted are
 	// those that have only just begun to be silent, as otherwise the first of a crowd would go one by one.
-	crowd := silent > 3 && float64(silent) > limits.SilentCrowd*float64(up)
+	crowd := crowded(silent, up)
 	for _, m := range s.fleet {
 		if m.deleting {
 			continue
@@ -413,7 +416,7 @@
 		case m.notice && len(m.binds) == 0 && s.durable(m):
 			s.remove(m, "spot notice")
 		default:
-			for _, b := range m.sortedBinds() {
+			for _, b := range m.binds {
 				if b.j.cancelled && s.now > b.j.cancelAt+time.Duration(limits.CancelShare*float64(limits.Seconds(s.cfg.Workers.CancelS))) {
 					s.remove(m, "cancelled task does not stop")
 					break
@@ -439,7 +442,7 @@
 // durable tells whether all results that a machine lists are written down.
 func (s *Scheduler) durable(m *machine) bool {
 	for _, x := range m.exits {
-		if x.j != nil && !x.j.over && x.j.chunks[x.chunk].durable < x.ver {
+		if !x.durable() {
 			return false
 		}
 	}
@@ -488,7 +491,7 @@
 		offers = append(offers, o)
 	}
 	for _, h := range s.hires {
-		if h.state == hireWriting || h.state == hireAsking {
+		if h.pending() {
 			total += h.rec.Number
 		}
 	}
@@ -571,7 +574,7 @@
 	var out []*offer
 	for _, h := range s.sortedHires() {
 		t := s.types[h.rec.Rigkind]
-		if t == nil || (h.state != hireWriting && h.state != hireAsking) {
+		if t == nil || !h.pending() {
 			continue
 		}
 		for range h.rec.Number {
@@ -585,7 +588,7 @@
 func (s *Scheduler) horizon(j *job) float64 {
 	wait := time.Duration(s.cfg.Options.Fleet.LongestWait).Seconds()
 	if slack, late := s.slack(j); !late && slack != never {
-		wait = min(max(slack.Seconds(), 0)*s.cfg.Options.Fleet.SlackShare, time.Duration(s.cfg.Options.Fleet.LongestWait).Seconds())
+		wait = min(wait, max(slack.Seconds(), 0)*s.cfg.Options.Fleet.SlackShare)
 	}
 	return wait + j.occupies()
 }
@@ -605,7 +608,7 @@
 		if n == 0 {
 			return
 		}
-		size := room{o.typ.Vcpus, o.typ.Accelerators, o.typ.RamGb}
+		size := sizeOf(o.typ)
 		if !size.holds(j.need) || !s.allows(j, o.p.kind, o.p.yard, o.p.spot) || (o.m != nil && j.avoids(o.m)) {
 			continue
 		}
@@ -621,7 +624,7 @@
 		if got == 0 {
 			return
 		}
-		size := room{t.Vcpus, t.Accelerators, t.RamGb}
+		size := sizeOf(t)
 		whole := slots(size, j.need) * max(1, int((max(horizon, o.ready+est)-o.ready)/est))
 		fresh[p] += float64(got) / float64(whole)
 		if got < whole {
@@ -637,7 +640,7 @@
 
 // take promises up to n tasks to the offer and returns how many it takes.
 func (o *offer) take(j *job, n int, est, horizon float64) int {
-	size := room{o.typ.Vcpus, o.typ.Accelerators, o.typ.RamGb}
+	size := sizeOf(o.typ)
 	per := slots(size, j.need)
 	if per == 0 {
 		return 0
@@ -680,7 +683,7 @@
 	low, floor := math.Inf(1), math.Inf(1)
 	for _, k := range s.kinds {
 		t := s.types[k]
-		size := room{t.Vcpus, t.Accelerators, t.RamGb}
+		size := sizeOf(t)
 		per := slots(size, j.need)
 		if per == 0 {
 			continue
--- a/internal/coordination/scheduler/model.go
+++ b/internal/coordination/scheduler/model.go
@@ -46,26 +46,23 @@
 
 // binding ties a task to a session of a machine.
 type binding struct {
-	j         *job
-	idx       int
-	try       uint64
-	m         *machine
-	phase     phase
-	sentTally uint64        // of the report whose answer carried the start; 0 if only a direct command did
-	direct    uint64        // the direct command that carried the start and is not answered yet
-	unclear   bool          // a direct start went out and no answer came: it may arrive as long as this session and term last
-	resent    bool          // the start was repeated in an answer to a report
-	stopSent  time.Duration // when the stop last went out
-	at        time.Duration // when it was bound
-	runAt     time.Duration // when it was first seen running
-	stop      bool
-	stopWhy   string
-	stopAt    time.Duration
+	j        *job
+	idx      int
+	try      uint64
+	m        *machine
+	phase    phase
+	direct   uint64        // the direct command that carried the start and is not answered yet
+	unclear  bool          // a direct start went out and no answer came: it may arrive as long as this session and term last
+	resent   bool          // the start was repeated in an answer to a report
+	stopSent bool          // the stop went out at least once
+	at       time.Duration // when it was bound
+	runAt    time.Duration // when it was first seen running
+	stop     bool
+	stopWhy  string
 }
 
 // exit is an ended task that its machine still lists.
 type exit struct {
-	try   uint64
 	keep  bool // an unclear start of this attempt may still arrive; forgotten, it would run again
 	j     *job // nil if there is nothing to write down
 	chunk int
@@ -87,6 +84,11 @@
 	start bool
 }
 
+// durable tells whether the result, if there is one, is written down.
+func (x exit) durable() bool {
+	return x.j == nil || x.j.over || x.j.chunks[x.chunk].durable >= x.ver
+}
+
 type job struct {
 	id        string
 	spec      protocol.Spec
@@ -102,7 +104,6 @@
 	guar      bool // fits into its team's guarantee together with the team's earlier unfinished jobs
 	over      bool // its final record is written
 	finishing bool
-	finishAt  time.Duration
 
 	done   []uint64
 	doneN  int
@@ -185,23 +186,23 @@
 	spot                   bool
 	typ                    *protocol.Rigkind
 
-	seen      bool // we have its task list in our term
-	fenced    bool // its worker has seen our term, so no earlier leader can add tasks
-	shift     uint64
-	tally     uint64        // of the newest task list, from a report or a direct command
-	reportNo  uint64        // tally of the newest report
-	direct    bool          // has reported to us itself in our term
-	relayed   bool          // its last report came through another controller
-	relayFrom time.Duration // when that began
-	relayTry  int
-	missed    bool          // did not answer a probe in our term
-	directID  uint64        // a direct command that is not answered yet
-	mute      time.Duration // no direct commands before this
-	deadShift uint64        // sessions up to this one are surely over
-	heard     time.Duration // arrival of the last report
-	leaseBase time.Duration // the session is over WaitOut(lease) after this, if we answer no more
-	notice    bool
-	noticeEnd time.Duration
+	seen       bool // we have its task list in our term
+	fenced     bool // its worker has seen our term, so no earlier leader can add tasks
+	shift      uint64
+	tally      uint64        // of the newest task list, from a report or a direct command
+	reportNo   uint64        // tally of the newest report
+	direct     bool          // has reported to us itself in our term
+	relayed    bool          // its last report came through another controller
+	relayFrom  time.Duration // when that began
+	redirected bool          // was told once to come itself
+	missed     bool          // did not answer a probe in our term
+	directID   uint64        // a direct command that is not answered yet
+	mute       time.Duration // no direct commands before this
+	deadShift  uint64        // sessions up to this one are surely over
+	heard      time.Duration // arrival of the last report
+	leaseBase  time.Duration // the session is over WaitOut(lease) after this, if we answer no more
+	notice     bool
+	noticeEnd  time.Duration
 
 	binds map[string]*binding
 	exits map[string]exit
@@ -233,11 +234,14 @@
 	speedN    int
 }
 
+// sizeOf is what a machine of a type has.
+func sizeOf(t *protocol.Rigkind) room { return room{t.Vcpus, t.Accelerators, t.RamGb} }
+
 func (m *machine) size() room {
 	if m.typ == nil {
 		return room{}
 	}
-	return room{m.typ.Vcpus, m.typ.Accelerators, m.typ.RamGb}
+	return sizeOf(m.typ)
 }
 
 // freeRoom is what may be promised: what is free, and what tasks that were told to stop will leave. A start is sent
@@ -273,6 +277,9 @@
 	hireRemoving
 )
 
+// pending tells whether the cloud has not answered yet.
+func (h *hire) pending() bool { return h.state == hireWriting || h.state == hireAsking }
+
 type hire struct {
 	name    string
 	rec     storage.Hire
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -34,17 +34,11 @@
 }
 
 // guarantees works out which jobs their teams' guarantees cover: a job is covered if it fits in together with the team's
-// earlier unfinished jobs.
+// earlier unfinished jobs. The queue is in order of submission.
 func (s *Scheduler) guarantees() {
 	for _, t := range s.teams {
 		t.claimed = room{}
 	}
-	sort.SliceStable(s.queue, func(a, b int) bool {
-		if s.queue[a].at != s.queue[b].at {
-			return s.queue[a].at < s.queue[b].at
-		}
-		return s.queue[a].id < s.queue[b].id
-	})
 	const eps = limits.Epsilon
 	for _, j := range s.queue {
 		n := float64(j.spec.Pieces - j.doneN)
@@ -428,7 +422,7 @@
 			}
 			ok = ok && in
 		}
-		if ok && (room{t.Vcpus, t.Accelerators, t.RamGb}).holds(need) {
+		if ok && sizeOf(t).holds(need) {
 			return true
 		}
 	}
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -18,7 +18,7 @@
 		return
 	}
 	m := s.machine(r.Rig, r.Rigkind, r.Yard, r.Lendable)
-	if m.seen && (r.Shift < m.shift || (r.Shift == m.shift && r.Tally <= m.reportNo)) || r.Shift <= m.deadShift {
+	if m.knows(r, m.reportNo) {
 		// Late or repeated: the worker waits for no answer to it, and its task list is old.
 		s.emit(ReplyOut{Ref: e.Ref})
 		return
@@ -54,11 +54,11 @@
 // that was here before and now comes that way, or that we did not reach either, cannot reach us. From time to time it is told to try again.
 func (s *Scheduler) relay(m *machine, relayed bool) bool {
 	if !relayed {
-		m.direct, m.relayed, m.relayTry = true, false, 0
+		m.direct, m.relayed, m.redirected = true, false, false
 		return true
 	}
-	if !m.direct && !m.missed && m.relayTry == 0 {
-		m.relayTry++
+	if !m.direct && !m.missed && !m.redirected {
+		m.redirected = true
 		return false
 	}
 	if m.relayed && s.now > m.relayFrom+limits.RelayFor {
@@ -105,16 +105,16 @@
 	if m != nil && r == nil {
 		m.missed = true
 	}
-	if m == nil || r == nil || r.Rig != e.Rig || !r.Valid() || r.Baton != s.cfg.Term || s.old(m, r) {
+	if m == nil || r == nil || r.Rig != e.Rig || !r.Valid() || r.Baton != s.cfg.Term || m.knows(r, m.tally) {
 		return
 	}
 	s.session(m, r)
 	s.strays(m, s.takeTasks(m, r, 0))
 }
 
-// old tells whether a message is older than what we know of a machine.
-func (s *Scheduler) old(m *machine, r *protocol.Report) bool {
-	return m.seen && (r.Shift < m.shift || (r.Shift == m.shift && r.Tally <= m.tally)) || r.Shift <= m.deadShift
+// knows tells whether a message is no newer than one of the machine with that tally, or of a session that is over.
+func (m *machine) knows(r *protocol.Report, tally uint64) bool {
+	return m.seen && (r.Shift < m.shift || (r.Shift == m.shift && r.Tally <= tally)) || r.Shift <= m.deadShift
 }
 
 // directDone takes the answer to a direct command.
@@ -124,6 +124,7 @@
 		return
 	}
 	m.directID = 0
+	r := e.Report
 	switch {
 	case e.Refused:
 		// Nothing reached the worker, or it executed nothing: these starts cannot arrive any more.
@@ -133,33 +134,28 @@
 				s.unbind(b)
 			}
 		}
-		return
-	case e.Report == nil:
+	case r == nil:
 		// It may be carried out at any time while the session and the term last. The next answers to reports
 		// repeat the starts, which is harmless, and the tasks stay bound until they show up or the session ends.
 		m.mute = s.now + limits.MuteAfter
-		for _, b := range m.binds {
-			if b.direct == e.ID {
-				b.direct, b.unclear = 0, true
-			}
-		}
-		return
-	}
-	r := e.Report
-	if r.Rig != e.Rig || !r.Valid() {
-		return
-	}
-	if s.old(m, r) {
+		m.unclear(e.ID)
+	case r.Rig != e.Rig || !r.Valid():
+	case m.knows(r, m.tally):
 		// A later message was here first and has told what became of the tasks, but for one that it was too early for.
-		for _, b := range m.binds {
-			if b.direct == e.ID {
-				b.direct, b.unclear = 0, true
-			}
+		m.unclear(e.ID)
+	default:
+		s.session(m, r)
+		s.strays(m, s.takeTasks(m, r, e.ID))
+	}
+}
+
+// unclear notes that we cannot tell whether the starts of a direct command have arrived.
+func (m *machine) unclear(id uint64) {
+	for _, b := range m.binds {
+		if b.direct == id {
+			b.direct, b.unclear = 0, true
 		}
-		return
 	}
-	s.session(m, r)
-	s.strays(m, s.takeTasks(m, r, e.ID))
 }
 
 // strays sends orders about tasks that should not be on a machine; if it is not possible now, its next report brings them up again.
@@ -226,7 +222,7 @@
 			case known && t.Cause == protocol.CauseDone && !j.cancelled:
 				// An attempt that we had given up, or one of an earlier term: the result counts. If the task is
 				// bound elsewhere meanwhile, it is stopped there.
-				x = exit{try: t.Try, j: j}
+				x = exit{j: j}
 				x.chunk, x.ver = s.taskDone(j, idx)
 				if o := j.bound[idx]; o != nil && o != b {
 					if o.phase == assigned {
@@ -237,13 +233,10 @@
 				}
 				s.finish(j)
 			default:
-				x = exit{try: t.Try}
+				x = exit{}
 			}
 			exits[exitKey(t)] = x
-			if x.keep {
-				continue
-			}
-			if x.j == nil || x.j.over || x.j.chunks[x.chunk].durable >= x.ver {
+			if !x.keep && x.durable() {
 				orders = append(orders, protocol.Order{Verb: protocol.VerbForget, Piece: t.Piece, Try: t.Try})
 			}
 			continue
@@ -351,7 +344,7 @@
 		ran = (s.now - b.runAt).Seconds()
 	}
 	s.unbind(b)
-	x := exit{try: t.Try, keep: b.unclear}
+	x := exit{keep: b.unclear}
 	switch t.Cause {
 	case protocol.CauseDone:
 		m.images[j.spec.Bundle] = s.now
@@ -467,8 +460,8 @@
 			b.resent = true
 			orders = append(orders, protocol.Order{Verb: protocol.VerbStart, Piece: protocol.PieceName(b.j.id, b.idx), Try: b.try})
 		}
-		if b.stop && (tally != 0 || b.stopSent == 0) {
-			b.stopSent = s.now
+		if b.stop && (tally != 0 || !b.stopSent) {
+			b.stopSent = true
 			o := protocol.Order{Verb: protocol.VerbStop, Piece: protocol.PieceName(b.j.id, b.idx), Try: b.try, LeewayS: &zero}
 			if b.j.spec.BookmarkS > 0 && !b.j.cancelled && b.stopWhy != "done elsewhere" {
 				grace := b.j.spec.StashS + limits.StashMargin.Seconds()
@@ -494,7 +487,7 @@
 			continue // its room is not confirmed yet
 		}
 		held = held.plus(b.j.need)
-		b.phase, b.sentTally, b.at = sent, tally, s.now
+		b.phase, b.at = sent, s.now
 		if tally == 0 {
 			b.direct = s.sendSeq + 1 // see send
 		}
--- a/internal/coordination/scheduler/step.go
+++ b/internal/coordination/scheduler/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"sort"
 	"time"
 
@@ -120,7 +121,11 @@
 		}
 		j.dues = s.dues(j)
 		s.jobs[e.ID] = j
-		s.queue = append(s.queue, j)
+		at := sort.Search(len(s.queue), func(i int) bool {
+			q := s.queue[i]
+			return q.at > j.at || (q.at == j.at && q.id > j.id)
+		})
+		s.queue = slices.Insert(s.queue, at, j)
 	}
 	if e.Stamp < j.stamp {
 		return
@@ -175,7 +180,7 @@
 	if b.stop {
 		return
 	}
-	b.stop, b.stopWhy, b.stopAt = true, why, s.now
+	b.stop, b.stopWhy = true, why
 	b.m.todo = true
 	b.m.leaving = b.m.leaving.plus(b.j.need)
 	s.note(false, "stopping", "job", b.j.id, "task", b.idx, "attempt", b.try, "machine", b.m.name, "reason", why)
@@ -205,7 +210,7 @@
 			ops = append(ops, protocol.Op{Remove: storage.FinKey(j.id, i*s.chunkLen)})
 		}
 	}
-	j.finishing, j.finishAt = true, s.now
+	j.finishing = true
 	s.write(pendingWrite{kind: writeFinal, j: j},
 		[]protocol.Guard{{Path: storage.OpenKey(j.id), Stamp: j.stamp}}, ops)
 }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -297,6 +297,8 @@
 	MissingLists = 2
 	// CloudShare is the part of the cloud's rate that a leader uses; at a take-over two terms may call for a moment.
 	CloudShare = 0.8
+	// CrowdLeast is how many silent machines are never a crowd, however few there are in all.
+	CrowdLeast = 3
 	// FleetMax bounds the number of machines we ever rent at once.
 	FleetMax = 400
 )
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -18,7 +18,6 @@
 // State is a stand-in of the state service.
 type State struct {
 	mu     sync.Mutex
-	now    func() time.Time
 	keys   map[string]protocol.Pair
 	ledger uint64
 	log    []protocol.Change
@@ -35,7 +34,7 @@
 
 // NewState returns an empty State.
 func NewState() *State {
-	return &State{now: time.Now, keys: map[string]protocol.Pair{}, holds: map[uint64]hold{}, waits: map[chan struct{}]bool{}}
+	return &State{keys: map[string]protocol.Pair{}, holds: map[uint64]hold{}, waits: map[chan struct{}]bool{}}
 }
 
 // SetDown starts or ends an outage. After one, all holds have their full time again.
@@ -45,7 +44,7 @@
 	s.expire()
 	s.down = down
 	for id, h := range s.holds {
-		h.ends = s.now().Add(h.life)
+		h.ends = time.Now().Add(h.life)
 		s.holds[id] = h
 	}
 }
@@ -56,7 +55,7 @@
 		return
 	}
 	for id, h := range s.holds {
-		if !s.now().Before(h.ends) {
+		if !time.Now().Before(h.ends) {
 			s.endHold(id)
 		}
 	}
@@ -165,7 +164,7 @@
 	defer s.mu.Unlock()
 	s.expire()
 	s.nextID++
-	s.holds[s.nextID] = hold{life: life, ends: s.now().Add(life)}
+	s.holds[s.nextID] = hold{life: life, ends: time.Now().Add(life)}
 	return s.nextID
 }
 
@@ -176,7 +175,7 @@
 	s.expire()
 	h, ok := s.holds[id]
 	if ok {
-		h.ends = s.now().Add(h.life)
+		h.ends = time.Now().Add(h.life)
 		s.holds[id] = h
 	}
 	return ok
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sort"
 	"sync"
 	"time"
 
+	"quillshunt/internal/limits"
 	"quillshunt/internal/protocol"
 	"quillshunt/internal/storage"
 	"quillshunt/internal/transport"
@@ -17,7 +19,6 @@
 	reportEvery = time.Second
 	leaseFor    = 10 * time.Second
 	answerIn    = 4 * time.Second
-	maxBody     = 64 << 10
 )
 
 // worker is a machine of the stand-in cloud. Its tasks only wait for the time that their owner reckons with.
@@ -103,7 +104,7 @@
 func (w *worker) send(ctx context.Context, addr string, r protocol.Report) (status int, leader string, reply protocol.ReportReply) {
 	ctx, cancel := context.WithTimeout(ctx, answerIn)
 	defer cancel()
-	c := transport.NewClient(addr, 0, maxBody)
+	c := transport.NewClient(addr, 0, limits.MaxBodyBytes)
 	m, err := c.Do(ctx, "POST", "/v1/report", protocol.Encode(r))
 	if err != nil {
 		return 0, "", reply
@@ -154,7 +155,7 @@
 	return r
 }
 
-func taskKey(piece string, try uint64) string { return protocol.PieceName(piece, int(try&0xffffffff)) }
+func taskKey(piece string, try uint64) string { return fmt.Sprintf("%s#%d", piece, try) }
 
 // execute carries out orders; the caller has the lock.
 func (w *worker) execute(orders []protocol.Order) {
