--- a/cmd/quillshunt/serve.go
+++ b/cmd/quillshunt/serve.go
@@ -31,8 +31,10 @@
 	debug.SetMemoryLimit(int64(s.Facts.Machine.MemoryMB * limits.HeapShare * (1 << 20)))
 	runtime.GOMAXPROCS(limits.Procs)
 
+	shares := limits.ShareSockets(s.Facts.Machine.MaxSockets, len(s.Members))
+	sockets := transport.NewSockets(shares.Room, shares.Headroom)
 	store := storage.New(s.External.State, s.Facts.State)
-	desk := leader.NewDesk(s, options, store, leader.NewCloud(s.External.Cloud, s.Facts.Cloud.RPS), log)
+	desk := leader.NewDesk(s, options, store, leader.NewCloud(s.External.Cloud, s.Facts.Cloud.RPS), sockets, log)
 	elector := election.New(s.NodeName, store, time.Duration(options.Leadership.HoldLife), limits.PledgeLife(limits.Seconds(s.Facts.Workers.LeaseS)), desk.Lead, log)
 	desk.OnLost(elector.Lost)
 	peers, err := peer.Dial(s.Members)
@@ -40,13 +42,16 @@
 		return err
 	}
 	elector.Peers = peers
-	front := &gateway.Gateway{Node: s.NodeName, Store: store.ForUsers(), Desk: desk, Peers: peers, Leader: elector.Leader, Settings: s, Log: log}
+	front := &gateway.Gateway{Node: s.NodeName, Store: store.ForUsers(), Desk: desk, Peers: peers, Leader: elector.Leader, Settings: s, Stage: shares.Stage, Log: log}
 	front.Start(ctx)
 	server := &transport.Server{
-		Addr:     s.ClientListen,
-		MaxConns: limits.Inbound(s.Facts.Machine.MaxSockets),
-		Handle:   front.Handle,
-		Log:      log,
+		Addr:      s.ClientListen,
+		MaxConns:  shares.Inbound,
+		MaxFleet:  shares.Fleet,
+		FleetIdle: limits.Seconds(s.Facts.Workers.LeaseS),
+		Sockets:   sockets,
+		Handle:    front.Handle,
+		Log:       log,
 	}
 
 	log.Info("starting", "version", version, "listen", s.ClientListen, "peers", len(s.Members))
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -31,6 +31,7 @@
 	Peers    *peer.Peers
 	Leader   func() string // name of the leading node, or ""
 	Settings *config.Settings
+	Stage    int // most users' requests worked on at once
 	Log      *slog.Logger
 
 	ctx    context.Context
@@ -47,7 +48,7 @@
 // Start prepares the gateway; its work ends with the context.
 func (g *Gateway) Start(ctx context.Context) {
 	g.ctx = ctx
-	g.stage = make(chan struct{}, limits.UserStage)
+	g.stage = make(chan struct{}, g.Stage)
 	g.relays = make(chan struct{}, limits.RelayStage)
 	g.finals.m = map[string]string{}
 	go g.followTypes(ctx)
@@ -90,6 +91,10 @@
 			rsp.Respond(405, nil, 0)
 			return
 		}
+		if !rsp.FromFleet() {
+			rsp.Respond(503, nil, 0)
+			return
+		}
 		g.report(req, rsp)
 		return
 	}
--- a/internal/coordination/leader/cloud.go
+++ b/internal/coordination/leader/cloud.go
@@ -21,6 +21,7 @@
 type Cloud struct {
 	http  *transport.Client
 	limit *rate.Limiter
+	calls chan struct{} // under way
 }
 
 // NewCloud returns a Cloud.
@@ -28,6 +29,7 @@
 	return &Cloud{
 		http:  transport.NewClient(addr, 2, limits.MaxUpstreamBytes),
 		limit: rate.NewLimiter(rate.Limit(rps*limits.CloudShare), max(1, int(rps))),
+		calls: make(chan struct{}, limits.CloudConns),
 	}
 }
 
@@ -38,6 +40,12 @@
 	if err := c.limit.Wait(ctx); err != nil {
 		return nil, fmt.Errorf("%w: rate: %w", errCloud, err)
 	}
+	select {
+	case c.calls <- struct{}{}:
+		defer func() { <-c.calls }()
+	case <-ctx.Done():
+		return nil, fmt.Errorf("%w: %w", errCloud, ctx.Err())
+	}
 	ctx, cancel := context.WithTimeout(ctx, limits.CloudTimeout)
 	defer cancel()
 	return c.http.Do(ctx, method, target, body)
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -31,14 +31,15 @@
 	options  config.Options
 	store    *storage.Store
 	cloud    *Cloud
+	sockets  *transport.Sockets // or nil
 	log      *slog.Logger
 	lost     func(term uint64)
 	term     atomic.Pointer[term]
 }
 
 // NewDesk returns a Desk.
-func NewDesk(settings *config.Settings, options config.Options, store *storage.Store, cloud *Cloud, log *slog.Logger) *Desk {
-	return &Desk{settings: settings, options: options, store: store, cloud: cloud, log: log, lost: func(uint64) {}}
+func NewDesk(settings *config.Settings, options config.Options, store *storage.Store, cloud *Cloud, sockets *transport.Sockets, log *slog.Logger) *Desk {
+	return &Desk{settings: settings, options: options, store: store, cloud: cloud, sockets: sockets, log: log, lost: func(uint64) {}}
 }
 
 // OnLost sets who is told that a term was found to be over.
@@ -56,6 +57,7 @@
 	pending []scheduler.WriteOut
 	bulk    []scheduler.WriteOut         // those that can wait for all others
 	workers map[string]*transport.Client // by address
+	clients int                          // most of these
 	probes  chan struct{}                // probes under way; a take-over asks all machines at once
 	longest time.Duration                // longest wait of a report in the mailbox since the last summary
 	usage   usage
@@ -176,19 +178,21 @@
 // Lead runs a term until its context ends.
 func (d *Desk) Lead(ctx context.Context, m *election.Mandate) {
 	f := &d.settings.Facts
+	shares := limits.ShareSockets(f.Machine.MaxSockets, len(d.settings.Members))
 	t := &term{
 		d: d, m: m,
-		mail:   make(chan any, limits.Mailbox(f.Machine.MaxSockets)),
+		mail:   make(chan any, limits.Mailbox(shares)),
 		start:  time.Now(),
 		writes: make(chan scheduler.WriteOut),
 
 		workers: map[string]*transport.Client{},
-		probes:  make(chan struct{}, limits.WorkerClients(f.Machine.MaxSockets)),
+		clients: shares.Machines,
+		probes:  make(chan struct{}, shares.Probes),
 		log:     d.log.With("term", m.Term),
 	}
 	options := d.options
 	if options.Fleet.MaxMachines == 0 {
-		options.Fleet.MaxMachines = limits.FleetMax(f.Machine.MaxSockets)
+		options.Fleet.MaxMachines = shares.Machines
 	}
 	t.sched = scheduler.New(scheduler.Config{
 		Term: m.Term, Teams: f.Teams, Objectives: f.Objectives, Workers: f.Workers, State: f.State,
@@ -366,6 +370,7 @@
 		case writes <- next:
 			*queue = (*queue)[1:]
 		case <-tick.C:
+			t.makeRoom()
 			t.step(ctx, scheduler.Tick{Entitled: t.m.Entitled()})
 		case msg := <-t.mail:
 			switch msg := msg.(type) {
--- a/internal/coordination/leader/workers.go
+++ b/internal/coordination/leader/workers.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 
 	"quillshunt/internal/coordination/scheduler"
 	"quillshunt/internal/limits"
@@ -40,14 +41,14 @@
 	}
 	pctx, cancel := context.WithTimeout(ctx, limits.ProbeTimeout)
 	defer cancel()
-	c := transport.NewClient(p.Address, 1, limits.MaxBodyBytes)
+	c := transport.NewClient(p.Address, 1, limits.MaxBodyBytes).Within(t.d.sockets)
 	defer c.Close()
 	r, err := t.probeReport(pctx, c)
 	if err != nil {
 		t.log.Debug("probe", "machine", p.Rig, "err", err)
 		r = nil
 	}
-	t.post(ctx, scheduler.ProbeDone{Rig: p.Rig, Report: r})
+	t.post(ctx, scheduler.ProbeDone{Rig: p.Rig, Report: r, Unasked: errors.Is(err, transport.ErrNoSocket)})
 }
 
 func (t *term) probeReport(ctx context.Context, c *transport.Client) (*protocol.Report, error) {
@@ -79,27 +80,32 @@
 func (t *term) worker(addr string) *transport.Client {
 	c := t.workers[addr]
 	if c == nil {
-		if len(t.workers) >= limits.WorkerClients(t.d.settings.Facts.Machine.MaxSockets) {
-			for old, o := range t.workers { // any one; a connection is cheap to make again
-				o.Close()
-				delete(t.workers, old)
-				break
-			}
+		if len(t.workers) >= t.clients {
+			t.giveUp(1)
 		}
-		c = transport.NewClient(addr, 1, limits.MaxBodyBytes)
+		c = transport.NewClient(addr, 1, limits.MaxBodyBytes).Within(t.d.sockets)
 		t.workers[addr] = c
 	}
 	return c
 }
 
-// hangUp drops the kept connections to workers.
-func (t *term) hangUp() {
+// makeRoom gives up connections to workers where what comes in needs the sockets.
+func (t *term) makeRoom() { t.giveUp(t.d.sockets.Excess()) }
+
+// giveUp drops at least n kept connections to workers, any ones; a connection is cheap to make again.
+func (t *term) giveUp(n int) {
 	for addr, c := range t.workers {
-		c.Close()
+		if n <= 0 {
+			return
+		}
+		n -= max(c.Close(), 1)
 		delete(t.workers, addr)
 	}
 }
 
+// hangUp drops the kept connections to workers.
+func (t *term) hangUp() { t.giveUp(math.MaxInt) }
+
 // send carries out a direct command.
 func (t *term) send(ctx context.Context, d scheduler.DirectOut, c *transport.Client) {
 	done := scheduler.DirectDone{ID: d.ID, Rig: d.Rig}
--- a/internal/coordination/scheduler/events.go
+++ b/internal/coordination/scheduler/events.go
@@ -53,8 +53,9 @@
 
 // ProbeDone is what a machine answered to a ProbeOut: its report after it had seen our term, or nothing.
 type ProbeDone struct {
-	Rig    string
-	Report *protocol.Report
+	Rig     string
+	Report  *protocol.Report
+	Unasked bool // it was not asked for want of a socket, so that it did not answer says nothing
 }
 
 // DirectDone is the outcome of a DirectOut.
--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -553,6 +553,10 @@
 		if n == 0 && total == 0 {
 			n = 1
 		}
+		if n > s.fleetMax()-total && s.now >= s.boundAt {
+			s.boundAt = s.now + limits.SummaryEvery
+			s.note(true, "fleet at its bound", "machines", total, "wanted", n)
+		}
 		for n = min(n, s.fleetMax()-total); n > 0 && calls > 0; n -= limits.HireMax {
 			total += min(n, limits.HireMax)
 			calls--
--- a/internal/coordination/scheduler/model.go
+++ b/internal/coordination/scheduler/model.go
@@ -364,6 +364,7 @@
 	planAt   time.Duration
 	listAt   time.Duration
 	sumAt    time.Duration
+	boundAt  time.Duration // when to say again that the fleet is at its bound
 	listing  bool
 	typesAt  time.Duration
 	out      []Effect
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -175,7 +175,7 @@
 func (s *Scheduler) probeDone(e ProbeDone) {
 	m := s.machines[e.Rig]
 	r := e.Report
-	if m != nil && r == nil {
+	if m != nil && r == nil && !e.Unasked {
 		m.misses++
 	}
 	if m == nil || r == nil || r.Rig != e.Rig || !r.Valid() || r.Baton != s.cfg.Term || m.knows(r, m.tally) {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -100,17 +100,29 @@
 	SlowRequest = 10 * time.Second
 	// SweepEvery is how often connections are checked for the two limits above.
 	SweepEvery = 2 * time.Second
-	// InboundShare is the part of max_sockets that inbound connections may use: after a take-over all
-	// workers come to one controller, and users as well.
-	InboundShare = 0.65
-	// WorkerShare is the part for kept connections to workers. What is left of the sockets, a twentieth, is for the state
-	// service, the cloud, probes and controllers.
-	WorkerShare = 0.3
-	// FleetShare is how many machines may be rented at once for each socket: each holds an inbound connection, and users need some.
-	FleetShare = 0.5
-	// UserStage is how many users' requests are worked on at once; one more is
-	// told to come back. Each holds one state-service call.
-	UserStage = 64
+	// CloudConns is how many calls of the cloud are under way at once: rentals, deletions, a list and types. More wait for its rate anyway.
+	CloudConns = 24
+	// SpareSockets are for listeners, the runtime's own, and watches.
+	SpareSockets = 16
+	// ReservedMost bounds the part of the sockets that is set aside for the state service, the cloud and controllers, where there are few.
+	ReservedMost = 0.4
+	// UsersShare is the part of inbound connections that machines can't take. Users hold about one for each job that is not over, spread over all controllers.
+	UsersShare = 0.12
+	// HeadroomShare is the part that connections to workers leave free, so that a rush of connections coming in finds room until kept ones are given up, half a
+	// second later.
+	HeadroomShare = 0.06
+	// MadeShare is the part that inbound connections leave to connections to workers, for probes and direct commands when all else is taken.
+	MadeShare = 0.03
+	// StaleShare is the part of the machines' connections that may be dead ones, not swept yet, or of machines that are not ours any more.
+	StaleShare = 0.15
+	// ProbeShare is the part of the sockets that probes may hold at once, ProbesMost the most of them: a new leader asks all machines at once, and those that
+	// are out of reach hold theirs for ProbeTimeout.
+	ProbeShare = 0.2
+	ProbesMost = 512
+	// UserStage is how many users' requests are worked on at once; one more is told to come back. Each holds one state-service call, and no more than
+	// UserStageShare of all sockets go to these.
+	UserStage      = 64
+	UserStageShare = 0.15
 	// ConnBytes is what a connection may hold of the heap between requests, in bytes: two thousand of them stay far below the memory of a controller that has
 	// as many sockets.
 	ConnBytes = 8 << 10
@@ -363,14 +375,34 @@
 	Procs = 2
 )
 
-// Inbound is how many inbound connections a controller takes, WorkerClients how many connections to workers it keeps, and FleetMax how many
-// machines are rented at once, unless the operator sets another number.
-func Inbound(sockets int) int       { return int(float64(sockets) * InboundShare) }
-func WorkerClients(sockets int) int { return max(1, int(float64(sockets)*WorkerShare)) }
-func FleetMax(sockets int) int      { return max(1, int(float64(sockets)*FleetShare)) }
+// Shares is how a controller's sockets are used. The state service, the cloud and the other controllers have theirs set aside; the rest is shared by need
+// between connections that come in and those that are made to workers.
+type Shares struct {
+	Room     int // inbound connections and those made to workers, together
+	Headroom int // of these, what connections to workers leave free
+	Inbound  int // most inbound connections
+	Fleet    int // of these, most connections of machines
+	Machines int // most machines that are rented at once, unless the operator sets another number
+	Probes   int // most probes under way
+	Stage    int // most users' requests worked on at once
+}
+
+// ShareSockets shares the sockets of a controller that has so many others beside it.
+func ShareSockets(sockets, others int) Shares {
+	s := Shares{Stage: min(UserStage, max(1, int(float64(sockets)*UserStageShare)))}
+	set := min(s.Stage+StateConns+CloudConns+2*others+SpareSockets, int(float64(sockets)*ReservedMost))
+	s.Room = sockets - set
+	part := func(of int, share float64) int { return max(1, int(float64(of)*share)) }
+	s.Headroom = part(s.Room, HeadroomShare)
+	s.Inbound = s.Room - part(s.Room, MadeShare) - s.Headroom
+	s.Fleet = s.Inbound - part(s.Inbound, UsersShare)
+	s.Machines = part(s.Fleet, 1-StaleShare)
+	s.Probes = min(ProbesMost, part(s.Room, ProbeShare))
+	return s
+}
 
 // Mailbox is the size of the mailbox of the leader's scheduler: one report of each worker that can be connected, as each has one in flight.
-func Mailbox(sockets int) int { return max(MailboxLeast, Inbound(sockets)) }
+func Mailbox(s Shares) int { return max(MailboxLeast, s.Fleet) }
 
 // WaitOut is how long to wait, by our clock, until a lease of d on another clock is surely over.
 func WaitOut(d time.Duration) time.Duration {
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -19,13 +19,20 @@
 	addr    string
 	maxBody int
 	idle    chan *outbound
+	sockets *Sockets // or nil
 }
 
 type outbound struct {
-	conn net.Conn
-	raw  syscall.RawConn
-	dec  *Decoder
-	buf  []byte
+	conn    net.Conn
+	raw     syscall.RawConn
+	dec     *Decoder
+	buf     []byte
+	sockets *Sockets
+}
+
+func (o *outbound) close() {
+	_ = o.conn.Close()
+	o.sockets.hungUp()
 }
 
 // NewClient returns a client that keeps up to keep idle connections.
@@ -33,6 +40,12 @@
 	return &Client{addr: addr, maxBody: maxBody, idle: make(chan *outbound, keep)}
 }
 
+// Within makes the client's connections count among the sockets. It is called before the first use.
+func (c *Client) Within(s *Sockets) *Client {
+	c.sockets = s
+	return c
+}
+
 // Addr is the server's address.
 func (c *Client) Addr() string { return c.addr }
 
@@ -47,17 +60,17 @@
 	}
 	m, err := o.exchange(ctx, req)
 	if err != nil {
-		_ = o.conn.Close()
+		o.close()
 		return nil, fmt.Errorf("%s %s%s: %w", method, c.addr, target, err)
 	}
 	if m.Close || o.dec.Buffered() > 0 {
-		_ = o.conn.Close()
+		o.close()
 		return m, nil
 	}
 	select {
 	case c.idle <- o:
 	default:
-		_ = o.conn.Close()
+		o.close()
 	}
 	return m, nil
 }
@@ -70,21 +83,25 @@
 			if o.alive() {
 				return o, nil
 			}
-			_ = o.conn.Close()
+			o.close()
 			continue
 		default:
 		}
 		break
 	}
+	if !c.sockets.make() {
+		return nil, fmt.Errorf("dial %s: %w", c.addr, ErrNoSocket)
+	}
 	d := net.Dialer{Timeout: limits.DialTimeout, KeepAlive: -1}
 	conn, err := d.DialContext(ctx, "tcp", c.addr)
 	if err != nil {
+		c.sockets.hungUp()
 		return nil, fmt.Errorf("dial %s: %w: %w", c.addr, ErrNotSent, err)
 	}
-	o := &outbound{conn: conn, dec: NewResponseDecoder(c.maxBody), buf: make([]byte, 4096)}
+	o := &outbound{conn: conn, dec: NewResponseDecoder(c.maxBody), buf: make([]byte, 4096), sockets: c.sockets}
 	if sc, ok := conn.(syscall.Conn); ok {
 		if o.raw, err = sc.SyscallConn(); err != nil {
-			_ = conn.Close()
+			o.close()
 			return nil, fmt.Errorf("dial %s: %w: %w", c.addr, ErrNotSent, err)
 		}
 	}
@@ -141,14 +158,14 @@
 	}
 }
 
-// Close drops the kept connections.
-func (c *Client) Close() {
-	for {
+// Close drops the kept connections and returns how many there were. The client can be used again.
+func (c *Client) Close() int {
+	for n := 0; ; n++ {
 		select {
 		case o := <-c.idle:
-			_ = o.conn.Close()
+			o.close()
 		default:
-			return
+			return n
 		}
 	}
 }
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -21,6 +21,7 @@
 type Responder struct {
 	c  *inbound
 	ec evio.Conn
+	s  *Server
 	// sync is true while the handler runs on the loop: then no wake is needed.
 	sync bool
 	used bool // guarded by c.mu
@@ -35,6 +36,7 @@
 	last    time.Time
 	closing bool
 	refused bool // answered, but its sender is not done sending
+	fleet   bool // of a machine of the fleet
 
 	mu   sync.Mutex
 	out  []byte
@@ -49,6 +51,23 @@
 	return r.c.status
 }
 
+// FromFleet notes, while the handler runs on the loop, that the connection is of a machine of the fleet. It returns false, and the connection ends with
+// the answer, if there are as many of these as may be: users need the rest.
+func (r *Responder) FromFleet() bool {
+	if r.c.fleet {
+		return true
+	}
+	if r.s.MaxFleet > 0 && r.s.fleet >= r.s.MaxFleet {
+		r.c.mu.Lock()
+		r.c.end = true
+		r.c.mu.Unlock()
+		return false
+	}
+	r.c.fleet = true
+	r.s.fleet++
+	return true
+}
+
 // Respond answers the request.
 func (r *Responder) Respond(status int, body []byte, retryAfter int) {
 	c := r.c
@@ -74,12 +93,16 @@
 // below the socket limit, so that accept does not fail for want of sockets. It reads from a connection
 // only after the answer before is written, which bounds what a slow reader can hold to one answer.
 type Server struct {
-	Addr     string
-	MaxConns int
-	Handle   Handler
-	Log      *slog.Logger
+	Addr      string
+	MaxConns  int
+	MaxFleet  int           // of these, connections of machines; 0: all
+	FleetIdle time.Duration // closes a machine's connection that has been silent this long, if less than IdleConn
+	Sockets   *Sockets      // or nil
+	Handle    Handler
+	Log       *slog.Logger
 
-	conns map[evio.Conn]*inbound // owned by the loop
+	conns map[evio.Conn]*inbound // owned by the loop, as is
+	fleet int                    // how many of them are of machines
 }
 
 // Run serves until the context ends.
@@ -109,11 +132,14 @@
 }
 
 func (s *Server) serve(ctx context.Context) error {
-	s.conns = make(map[evio.Conn]*inbound)
+	for range s.conns { // of a loop that ended
+		s.Sockets.left()
+	}
+	s.conns, s.fleet = make(map[evio.Conn]*inbound), 0
 	var ev evio.Events
 	ev.NumLoops = 1
 	ev.Opened = func(ec evio.Conn) ([]byte, evio.Options, evio.Action) {
-		if len(s.conns) >= s.MaxConns {
+		if len(s.conns) >= s.MaxConns || !s.Sockets.admit() {
 			return nil, evio.Options{}, evio.Close
 		}
 		c := &inbound{dec: NewRequestDecoder(limits.MaxBodyBytes), last: time.Now()}
@@ -122,7 +148,13 @@
 		return nil, evio.Options{ReuseInputBuffer: true}, evio.None
 	}
 	ev.Closed = func(ec evio.Conn, _ error) evio.Action {
-		delete(s.conns, ec)
+		if c := s.conns[ec]; c != nil {
+			delete(s.conns, ec)
+			s.Sockets.left()
+			if c.fleet {
+				s.fleet--
+			}
+		}
 		return evio.None
 	}
 	ev.Data = func(ec evio.Conn, in []byte) ([]byte, evio.Action) {
@@ -147,6 +179,9 @@
 	now := time.Now()
 	for ec, c := range s.conns {
 		limit := limits.IdleConn
+		if c.fleet && s.FleetIdle > 0 {
+			limit = min(limit, s.FleetIdle)
+		}
 		if c.refused || (!c.busy && c.dec.Started()) {
 			limit = limits.SlowRequest
 		}
@@ -209,7 +244,7 @@
 			return nil, evio.None
 		}
 		c.busy = true
-		r := &Responder{c: c, ec: ec, sync: true}
+		r := &Responder{c: c, ec: ec, s: s, sync: true}
 		c.mu.Lock()
 		c.end = req.Close
 		c.mu.Unlock()
--- /dev/null
+++ b/internal/transport/sockets.go
@@ -0,0 +1,58 @@
+package transport
+
+import (
+	"fmt"
+	"sync/atomic"
+)
+
+// ErrNoSocket marks a call that was not tried because connections coming in need the sockets. It is an ErrNotSent.
+var ErrNoSocket = fmt.Errorf("%w: no socket to spare", ErrNotSent)
+
+// Sockets shares a number of sockets by need between the connections that come in and those that are made to workers. What comes in goes first: a
+// connection that is made may not take the last ones, and kept ones are given up for it (see Excess). Calls that must always get through, as to the
+// state service, are not counted here and have sockets of their own.
+type Sockets struct {
+	room     int64 // for both together
+	headroom int64 // kept free for what comes in, as giving up takes a moment
+	inbound  atomic.Int64
+	made     atomic.Int64
+}
+
+// NewSockets returns Sockets of which some are kept free for what comes in.
+func NewSockets(room, headroom int) *Sockets {
+	return &Sockets{room: int64(room), headroom: int64(headroom)}
+}
+
+// admit takes a socket that is open already for a connection that came in, if there is room for it.
+func (s *Sockets) admit() bool { return s == nil || take(&s.inbound, &s.made, s.room) }
+
+func (s *Sockets) left() {
+	if s != nil {
+		s.inbound.Add(-1)
+	}
+}
+
+// make takes a socket for a connection to a worker.
+func (s *Sockets) make() bool { return s == nil || take(&s.made, &s.inbound, s.room-s.headroom) }
+
+func (s *Sockets) hungUp() {
+	if s != nil {
+		s.made.Add(-1)
+	}
+}
+
+func take(mine, others *atomic.Int64, room int64) bool {
+	if mine.Add(1)+others.Load() > room {
+		mine.Add(-1)
+		return false
+	}
+	return true
+}
+
+// Excess is how many connections to workers should be given up so that what comes in finds room.
+func (s *Sockets) Excess() int {
+	if s == nil {
+		return 0
+	}
+	return int(max(min(s.inbound.Load()+s.made.Load()-(s.room-s.headroom), s.made.Load()), 0))
+}
