--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -1,10 +1,12 @@
 package scheduler
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"quillshunt/internal/limits"
@@ -527,13 +529,12 @@
 		}
 	}
 	// may is how many machines a pool may be asked for now. One that refused lately is tried with one request, and others take the rest: each
-	// refusal costs a call of the cloud's rate.
+	// refusal costs a call of the cloud's rate. One that gives what is asked is asked for all, as the next pool may be far dearer.
 	may := func(p pool) int {
-		most := limits.PoolRequests
 		if st := s.pools[p]; st != nil && st.backoff > 0 {
-			most = 1
+			return max(1-asked[p], 0) * limits.HireMax
 		}
-		return max(most-asked[p], 0) * limits.HireMax
+		return math.MaxInt
 	}
 	offers = append(offers, s.pendingOffers()...)
 	fresh := map[pool]float64{}
@@ -547,7 +548,9 @@
 	for p := range fresh {
 		pools = append(pools, p)
 	}
-	sort.Slice(pools, func(a, b int) bool { return fmt.Sprint(pools[a]) < fmt.Sprint(pools[b]) })
+	slices.SortFunc(pools, func(a, b pool) int { // the cheapest first, as the calls may not do for all
+		return cmp.Or(cmp.Compare(s.perCPU(a), s.perCPU(b)), strings.Compare(a.kind, b.kind), strings.Compare(a.yard, b.yard))
+	})
 	for _, p := range pools {
 		n := int(math.Floor(fresh[p] + 1 - limits.HireFraction))
 		if n == 0 && total == 0 {
@@ -585,6 +588,12 @@
 	}
 }
 
+// perCPU is what a CPU of a pool costs an hour.
+func (s *Scheduler) perCPU(p pool) float64 {
+	t := s.types[p.kind]
+	return (&machine{typ: t, spot: p.spot}).price() / max(t.Vcpus, 1)
+}
+
 // fleetMax is how many machines may be rented at once.
 func (s *Scheduler) fleetMax() int {
 	if n := s.cfg.Options.Fleet.MaxMachines; n > 0 {
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -634,3 +634,38 @@
 		}
 	}
 }
+
+// TestCheapestPool: machines are rented where they cost least for as long as that pool gives them, and the rest at once elsewhere.
+func TestCheapestPool(t *testing.T) {
+	b := newBed(t, 0)
+	b.step(TypesDone{OK: true, Types: []protocol.Rigkind{{Sku: "s8", Vcpus: 8, RamGb: 32, PullGbPerS: 1, Price: 2, MarketPrice: 1, StartupS: 5, Yards: []string{"a"}}}})
+	b.s.cfg.CloudRPS = 4
+	b.step(JobSeen{ID: "job-1", Stamp: 100, Rec: storage.Open{Spec: protocol.Spec{NameId: "job-1", Docket: "c", Crew: "red", Shape: "sweep",
+		Urgency: "high", Pieces: 5000, Vcpus: 8, RamGb: 1, Bundle: "i", ReckonS: 10, Lendable: true}}})
+	b.s.teams["red"].cfg.CPUsMax = 1e6
+	rented := func() (spot, dear int) {
+		for b.now += time.Second; ; b.now += time.Second {
+			b.step(Tick{Entitled: true})
+			for _, h := range b.s.hires {
+				if h.pending() && h.rec.Lendable {
+					spot++
+				} else if h.pending() {
+					dear++
+				}
+			}
+			if spot+dear > 0 {
+				return spot, dear
+			}
+		}
+	}
+	if spot, dear := rented(); spot != 4 || dear != 0 {
+		t.Fatalf("%d requests to the cheap pool and %d to the dear one, want all that the cloud takes to the cheap one", spot, dear)
+	}
+	for _, h := range b.s.sortedHires() {
+		h.state = hireAsking
+		b.step(HireDone{Name: h.name, NoCapacity: true})
+	}
+	if spot, dear := rented(); spot > 1 || dear == 0 {
+		t.Errorf("%d requests to the pool that refused and %d to the other", spot, dear)
+	}
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -35,9 +35,6 @@
 	HireMax = 50
 	// DeleteMax is the largest number of names in one deletion.
 	DeleteMax = 100
-	// PoolRequests is how many rental requests for one type, zone and kind may wait for an answer at once: what is left of a pool is not known, and the
-	// first refusal makes the others useless.
-	PoolRequests = 2
 	// ListPage is the Limit asked for when the cloud's machines are listed.
 	ListPage = 500
 	// StatePage is the Limit asked for when keys are listed; pages stay under
