--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -480,7 +480,8 @@
 	p     pool
 	typ   *protocol.Rigkind
 	ready float64 // seconds until it can start a task
-	load  float64 // CPU seconds already promised
+	used  float64 // CPUs in use or promised, also by tasks that start one after the other
+	load  float64 // CPU seconds that these still take
 }
 
 // plan compares the backlog with what the fleet can work off in time, rents what is missing and returns what is idle.
@@ -515,6 +516,7 @@
 				left = b.j.estimate()
 				left = max(left-(s.now-b.runAt).Seconds(), limits.LeastLeft*left)
 			}
+			o.used += b.j.need.cpu
 			o.load += left * b.j.need.cpu
 		}
 		offers = append(offers, o)
@@ -528,13 +530,15 @@
 			asked[pool{h.rec.Rigkind, h.rec.Yard, h.rec.Lendable}]++
 		}
 	}
-	// may is how many machines a pool may be asked for now. One that refused lately is tried with one request, and others take the rest: each
-	// refusal costs a call of the cloud's rate. One that gives what is asked is asked for all, as the next pool may be far dearer.
+	// may is how many machines a pool may be asked for now. What is left of a pool is not known, and each refusal costs a call of the cloud's rate: pools of like
+	// price share the calls, and one that refused lately is tried with one.
+	each := max(limits.PoolRequests, calls/max(s.cheapPools(), 1))
 	may := func(p pool) int {
+		most := each
 		if st := s.pools[p]; st != nil && st.backoff > 0 {
-			return max(1-asked[p], 0) * limits.HireMax
+			most = 1
 		}
-		return math.MaxInt
+		return max(most-asked[p], 0) * limits.HireMax
 	}
 	offers = append(offers, s.pendingOffers()...)
 	fresh := map[pool]float64{}
@@ -594,6 +598,26 @@
 	return (&machine{typ: t, spot: p.spot}).price() / max(t.Vcpus, 1)
 }
 
+// cheapPools is how many pools cost about as little as the cheapest.
+func (s *Scheduler) cheapPools() int {
+	low, n := math.Inf(1), 0
+	each := func(f func(cost float64)) {
+		for _, t := range s.types {
+			for _, y := range t.Yards {
+				f(s.perCPU(pool{t.Sku, y, true}))
+				f(s.perCPU(pool{t.Sku, y, false}))
+			}
+		}
+	}
+	each(func(cost float64) { low = min(low, cost) })
+	each(func(cost float64) {
+		if cost <= limits.LikePrice*low {
+			n++
+		}
+	})
+	return n
+}
+
 // fleetMax is how many machines may be rented at once.
 func (s *Scheduler) fleetMax() int {
 	if n := s.cfg.Options.Fleet.MaxMachines; n > 0 {
@@ -653,19 +677,29 @@
 	return out
 }
 
-// horizon is the time in which a job's backlog should be worked off: its run time and a share of what it can wait.
-func (s *Scheduler) horizon(j *job) float64 {
+// patience is how long a job's tasks are planned to wait for room: a share of what it can wait.
+func (s *Scheduler) patience(j *job) float64 {
 	wait := time.Duration(s.cfg.Options.Fleet.LongestWait).Seconds()
 	if slack, late := s.slack(j); !late && slack != never {
 		wait = min(wait, max(slack.Seconds(), 0)*s.cfg.Options.Fleet.SlackShare)
 	}
-	return wait + j.occupies()
+	return wait
+}
+
+// soonest is how long the quickest machine that the job may use takes until it is up.
+func (s *Scheduler) soonest(j *job) float64 {
+	least := math.Inf(1)
+	for _, t := range s.types {
+		if sizeOf(t).holds(j.need) && (len(j.spec.Rigkinds) == 0 || slices.Contains(j.spec.Rigkinds, t.Sku)) {
+			least = min(least, t.StartupS*limits.BootReckon)
+		}
+	}
+	return least
 }
 
-// planJob promises a job's waiting tasks to offers, and adds machines to rent for what is left.
+// planJob promises a job's waiting tasks to offers that can start them in time, and adds machines to rent for what is left.
 func (s *Scheduler) planJob(j *job, fresh map[pool]float64, may func(pool) int, all *[]*offer) {
 	est, n := j.occupies(), j.free()
-	horizon := s.horizon(j)
 	// What the team's limit keeps out needs no machine now.
 	if j.need.cpu > 0 {
 		n = min(n, int((j.team.cfg.CPUsMax-j.team.used.cpu)/j.need.cpu+limits.Epsilon))
@@ -673,6 +707,11 @@
 	if n <= 0 {
 		return
 	}
+	open := func(p pool) bool { return fresh[p] < float64(may(p)) }
+	within := max(s.patience(j), s.soonest(j)) // what starts before a new machine can be up needs none
+	var p pool
+	var t *protocol.Rigkind
+	carry := 0.0
 	for _, o := range *all {
 		if n == 0 {
 			return
@@ -681,11 +720,8 @@
 		if !size.holds(j.need) || !s.allows(j, o.p.kind, o.p.yard, o.p.spot) || (o.m != nil && j.avoids(o.m)) {
 			continue
 		}
-		n -= o.take(j, n, est, max(horizon, o.ready+est))
+		n -= o.take(j, n, est, within, &carry)
 	}
-	open := func(p pool) bool { return fresh[p] < float64(may(p)) }
-	var p pool
-	var t *protocol.Rigkind
 	for n > 0 {
 		if t == nil || !open(p) {
 			if p, t = s.cheapestPool(j, open); t == nil {
@@ -693,13 +729,12 @@
 			}
 		}
 		o := &offer{p: p, typ: t, ready: t.StartupS * limits.BootReckon}
-		got := o.take(j, n, est, max(horizon, o.ready+est))
+		got := o.take(j, n, est, 0, new(float64))
 		if got == 0 {
 			return
 		}
-		size := sizeOf(t)
 		s.inZone[p.yard]++
-		whole := slots(size, j.need) * max(1, int((max(horizon, o.ready+est)-o.ready)/est))
+		whole := slots(sizeOf(t), j.need)
 		fresh[p] += float64(got) / float64(whole)
 		if got < whole {
 			// The rest of this machine stays open for the jobs behind.
@@ -712,8 +747,9 @@
 	}
 }
 
-// take promises up to n tasks to the offer and returns how many it takes.
-func (o *offer) take(j *job, n int, est, horizon float64) int {
+// take promises up to n tasks to the offer and returns how many it takes: those that can start within a time, or as soon as it is ready. Of what is in
+// use, a part will be free by then, as tasks end one after the other. The fraction of a task that is left over is carried to the next offer.
+func (o *offer) take(j *job, n int, est, within float64, carry *float64) int {
 	size := sizeOf(o.typ)
 	per := slots(size, j.need)
 	if per == 0 {
@@ -723,11 +759,17 @@
 	if cpu <= 0 {
 		cpu = size.cpu / float64(per)
 	}
-	avail := (horizon-o.ready)*size.cpu - o.load
-	k := min(n, int(avail/(cpu*est)+limits.Epsilon), per*max(1, int((horizon-o.ready)/est)))
+	room := size.cpu - o.used
+	if w := within - o.ready; w > 0 && o.load > 0 {
+		room += o.used * min(1, w*o.used/(2*o.load))
+	}
+	want := min(max(room/cpu, 0), float64(per)) + *carry
+	k := min(n, int(want+limits.Epsilon), per)
+	*carry = min(want-float64(k), 1)
 	if k <= 0 {
 		return 0
 	}
+	o.used += float64(k) * cpu
 	o.load += float64(k) * cpu * est
 	if o.m != nil {
 		o.m.wanted = true
@@ -750,11 +792,12 @@
 	return int(min(n+limits.Epsilon, limits.MaxTasks))
 }
 
-// cheapestPool is where a machine for the job costs least for each task it holds, among the pools that are not known to be empty.
+// cheapestPool is where a machine for the job costs least for each task it holds, among the pools that are not known to be empty. A pool that has only been
+// asked for as much as may be now is left for a dearer one of like price, else it is asked again with the next plan.
 func (s *Scheduler) cheapestPool(j *job, open func(pool) bool) (pool, *protocol.Rigkind) {
 	var best pool
 	var typ *protocol.Rigkind
-	low, floor := math.Inf(1), math.Inf(1)
+	low, floor, busy := math.Inf(1), math.Inf(1), math.Inf(1)
 	for _, k := range s.kinds {
 		t := s.types[k]
 		size := sizeOf(t)
@@ -776,7 +819,13 @@
 				cost := price / float64(per) * (1 + limits.ZoneSpread*float64(s.inZone[y]))
 				floor = min(floor, cost)
 				st := s.pools[p]
-				if st != nil && s.now < st.until || !open(p) {
+				if st != nil && s.now < st.until {
+					continue
+				}
+				if !open(p) {
+					if st == nil || st.backoff == 0 {
+						busy = min(busy, cost)
+					}
 					continue
 				}
 				if cost < low {
@@ -785,7 +834,7 @@
 			}
 		}
 	}
-	if typ == nil {
+	if typ == nil || low > limits.LikePrice*busy {
 		return best, nil
 	}
 	if slack, late := s.slack(j); low > s.cfg.Options.Fleet.DearRatio*floor && (late || slack > time.Duration(s.cfg.Options.Fleet.DearSlack)) {
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -669,3 +669,45 @@
 		t.Errorf("%d requests to the pool that refused and %d to the other", spot, dear)
 	}
 }
+
+// TestPlanByStarts: machines are rented for all tasks that can't start before a new machine would be up, however much a busy fleet could work off later; what
+// starts before needs none.
+func TestPlanByStarts(t *testing.T) {
+	b := newBed(t, 10)
+	b.s.cfg.CloudRPS = 100
+	for i := range 10 {
+		b.report(i)
+	}
+	b.job("job-1", "red", "high", 10, 8, 0)
+	for _, d := range b.direct() { // each machine is full, and has just begun
+		r := &protocol.Report{Rig: d.Rig, Shift: 1, Tally: 100, Baton: 3}
+		for _, o := range d.Orders {
+			r.Pieces = append(r.Pieces, protocol.TaskReport{Piece: o.Piece, Try: o.Try, Standing: protocol.Running})
+		}
+		b.step(DirectDone{ID: d.ID, Rig: d.Rig, Report: r})
+	}
+	b.job("job-2", "blue", "high", 8, 8, 20)
+	wanted := func() int {
+		b.s.planAt = 0
+		b.step(Tick{Entitled: true})
+		n := 0
+		for _, h := range b.s.hires {
+			if h.pending() {
+				n += h.rec.Number
+			}
+		}
+		return n
+	}
+	// Of ten tasks of 10 s that have just begun, nothing is known but their mean: a quarter or so ends in the 5.5 s that a machine takes to boot.
+	if n := wanted(); n < 5 || n > 7 {
+		t.Errorf("%d machines wanted for 8 tasks beside a fleet that has just begun, want 5 to 7", n)
+	}
+	b = newBed(t, 10)
+	for i := range 10 {
+		b.report(i)
+	}
+	b.job("job-2", "blue", "high", 8, 8, 20)
+	if n := wanted(); n != 0 {
+		t.Errorf("%d machines wanted for 8 tasks beside an idle fleet", n)
+	}
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -35,6 +35,10 @@
 	HireMax = 50
 	// DeleteMax is the largest number of names in one deletion.
 	DeleteMax = 100
+	// PoolRequests is how many rental requests may wait at least on one type, zone and kind. LikePrice: pools that cost up to so many times as much as the
+	// cheapest are asked beside it.
+	PoolRequests = 2
+	LikePrice    = 1.5
 	// ListPage is the Limit asked for when the cloud's machines are listed.
 	ListPage = 500
 	// StatePage is the Limit asked for when keys are listed; pages stay under
