--- /dev/null
+++ b/internal/coordination/gateway/thousands_test.go
@@ -0,0 +1,245 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/url"
+	"runtime"
+	"runtime/pprof"
+	"testing"
+	"time"
+
+	"quillshunt/internal/config"
+	"quillshunt/internal/coordination/election"
+	"quillshunt/internal/coordination/leader"
+	"quillshunt/internal/coordination/peer"
+	"quillshunt/internal/limits"
+	"quillshunt/internal/protocol"
+	"quillshunt/internal/standin"
+	"quillshunt/internal/storage"
+	"quillshunt/internal/transport"
+)
+
+// caller is a worker's side of a connection: it sends a report and reads the answer later, so that thousands of them wait at once.
+type caller struct {
+	conn  net.Conn
+	dec   *transport.Decoder
+	rig   string
+	tally uint64
+	baton uint64
+	tasks []protocol.TaskReport
+}
+
+func (c *caller) send(addr string) error {
+	c.tally++
+	body := protocol.Encode(protocol.Report{Rig: c.rig, Address: "127.0.0.1:1", Rigkind: "s", Yard: "a", Shift: 1, Tally: c.tally, Baton: c.baton, Pieces: c.tasks})
+	_, err := c.conn.Write(transport.AppendRequest(nil, "POST", "/v1/report", addr, body))
+	return err
+}
+
+// receive reads the answer and does what it orders.
+func (c *caller) receive(buf []byte) (int, error) {
+	for {
+		m, err := c.dec.Next()
+		if err != nil {
+			return 0, err
+		}
+		if m == nil {
+			n, err := c.conn.Read(buf)
+			if err != nil {
+				return 0, err
+			}
+			c.dec.Feed(buf[:n])
+			continue
+		}
+		if m.Status != 200 {
+			return m.Status, nil
+		}
+		var r protocol.ReportReply
+		if err := protocol.Decode(m.Body, &r); err != nil {
+			return 0, err
+		}
+		c.baton = r.Baton
+		for _, o := range r.Orders {
+			if o.Verb == protocol.VerbStart {
+				c.tasks = append(c.tasks, protocol.TaskReport{Piece: o.Piece, Try: o.Try, Standing: protocol.Running})
+			}
+		}
+		return 200, nil
+	}
+}
+
+// TestThousands: two thousand workers at one controller with a backlog of tens of thousands of tasks, all of them coming back at once after a crash of all
+// controllers. Memory, goroutines and threads stay bounded, and all are served.
+func TestThousands(t *testing.T) {
+	const machines, each, jobs, pieces, cpus = 2000, 50, 300, 150, 8
+	log := slog.New(slog.DiscardHandler)
+	name := func(i int) string { return fmt.Sprintf("m-%06d", i) }
+	typ := protocol.Rigkind{Sku: "s", Vcpus: cpus, RamGb: 64, CacheGb: 50, PullGbPerS: 1, Price: 1, MarketPrice: 1, StartupS: 10, Yards: []string{"a"}}
+
+	state := standin.NewState()
+	write := func(key string, v any) uint64 {
+		status, r := state.Txn(protocol.Txn{Apply: []protocol.Op{{Write: key, Data: protocol.Encode(v)}}})
+		if status != 200 {
+			t.Fatalf("write %s: %d", key, status)
+		}
+		return r.Ledger
+	}
+	write(storage.KeyTypes, storage.Types{Rigkinds: []protocol.Rigkind{typ}})
+	for i := 0; i < machines; i += each {
+		h := storage.Hire{Rigkind: "s", Yard: "a", Number: each, Answered: true}
+		for k := range each {
+			h.Rigs = append(h.Rigs, name(i+k))
+			h.Up = append(h.Up, storage.Up{Rig: name(i + k), Address: "127.0.0.1:1"})
+		}
+		write(storage.HireKey(fmt.Sprintf("h-%d", i)), h)
+	}
+	for i := range jobs {
+		id := fmt.Sprintf("job-%d", i)
+		write(storage.OpenKey(id), storage.Open{AtMs: time.Now().UnixMilli(), Spec: protocol.Spec{NameId: id, Docket: "c", Crew: "red", Shape: "sweep",
+			Urgency: "standard", Pieces: pieces, Vcpus: 1, RamGb: 1, Bundle: "i", ReckonS: 30}})
+	}
+	stateAddr, cloudAddr := freePort(t), freePort(t)
+	serve(t, state.Server(stateAddr, log))
+	serve(t, &transport.Server{Addr: cloudAddr, MaxConns: 100, Log: log, Handle: func(req *transport.Message, rsp *transport.Responder) {
+		switch {
+		case req.Path == "/machine_types":
+			rsp.Respond(200, protocol.Encode(protocol.RigkindList{Rigkinds: []protocol.Rigkind{typ}}), 0)
+		case req.Path == "/rentals" && req.Method == "GET":
+			q, _ := url.ParseQuery(req.Query)
+			l := protocol.RigList{}
+			for i := 0; i < machines && len(l.Rigs) < limits.ListPage; i++ {
+				if n := name(i); n > q.Get("Since") {
+					l.Rigs = append(l.Rigs, protocol.Rig{NameId: n, Rigkind: "s", Yard: "a", Standing: protocol.RigRunning, AgeS: 100})
+				}
+			}
+			l.Truncated = len(l.Rigs) == limits.ListPage && l.Rigs[len(l.Rigs)-1].NameId != name(machines-1)
+			rsp.Respond(200, protocol.Encode(l), 0)
+		case req.Path == "/rentals/delete":
+			rsp.Respond(200, nil, 0)
+		default:
+			rsp.Respond(503, protocol.Encode(map[string]string{"error": "no capacity"}), 0)
+		}
+	}})
+
+	s := &config.Settings{NodeName: "rig-0", Facts: config.Facts{
+		Teams: []config.Team{{Name: "red", CPUs: 100, CPUsMax: 1e6}}, Workers: config.Workers{ReportS: 5, LeaseS: 27, CancelS: 47},
+		State: config.State{RPS: 1e5, WriteRPS: 1e5, ValueKB: 8, TxnOps: 8}, Cloud: config.Cloud{RPS: 100, ListLagS: 3},
+		Machine: config.MachineLimits{CoreShare: 0.3, MemoryMB: 271, MaxSockets: 2907}}}
+	shares := limits.ShareSockets(s.Facts.Machine.MaxSockets, 4)
+	if shares.Machines < machines {
+		t.Fatalf("the sockets carry only %d machines", shares.Machines)
+	}
+	sockets := transport.NewSockets(shares.Room, shares.Headroom)
+	store := storage.New(stateAddr, s.Facts.State)
+	peers, err := peer.Dial(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	desk := leader.NewDesk(s, config.DefaultOptions(), store, leader.NewCloud(cloudAddr, 100), sockets, log)
+	g := &Gateway{Node: "rig-0", Store: store.ForUsers(), Desk: desk, Peers: peers, Leader: func() string { return "" }, Settings: s, Stage: shares.Stage, Log: log}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	g.Start(ctx)
+	addr := freePort(t)
+	serve(t, &transport.Server{Addr: addr, MaxConns: shares.Inbound, MaxFleet: shares.Fleet, Sockets: sockets, Handle: g.Handle, Log: log})
+
+	lead := func(term uint64) (end func()) {
+		stamp := write(storage.KeyLeader, storage.Leader{Node: "rig-0", Term: term})
+		tctx, over := context.WithCancel(ctx)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			desk.Lead(tctx, election.NewMandate(term, stamp, time.Now().Add(time.Hour)))
+		}()
+		return func() { over(); <-done }
+	}
+	dial := func(c *caller) {
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.conn, c.dec = conn, transport.NewResponseDecoder(limits.MaxBodyBytes)
+	}
+	callers := make([]*caller, machines)
+	for i := range callers {
+		callers[i] = &caller{rig: name(i)}
+		dial(callers[i])
+	}
+	t.Cleanup(func() {
+		for _, c := range callers {
+			c.conn.Close()
+		}
+	})
+	buf := make([]byte, 64<<10)
+	base, goroutines := runtime.NumGoroutine(), 0
+	// round lets all workers report at once and returns how many were answered 200.
+	round := func() int {
+		ok := 0
+		for _, c := range callers {
+			if err := c.send(addr); err != nil {
+				dial(c)
+				if err := c.send(addr); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		goroutines = max(goroutines, runtime.NumGoroutine()-base)
+		for _, c := range callers {
+			status, err := c.receive(buf)
+			var ne net.Error
+			switch {
+			case errors.As(err, &ne) && ne.Timeout():
+				t.Fatal(err)
+			case err != nil:
+				dial(c)
+			case status == 200:
+				ok++
+			}
+		}
+		return ok
+	}
+	settle := func(term uint64, done func(served int) bool) {
+		until := time.Now().Add(2 * time.Minute)
+		for n := round(); !done(n); n = round() {
+			if time.Now().After(until) {
+				t.Fatalf("term %d: %d machines served at last", term, n)
+			}
+		}
+	}
+	tasks := func() (n int) {
+		for _, c := range callers {
+			n += len(c.tasks)
+		}
+		return n
+	}
+	most := func(n int) bool { return n > machines*95/100 } // some few may be given up, as nothing answers at their address
+	end := lead(1)
+	settle(1, func(n int) bool { return most(n) && tasks() > machines*cpus/2 })
+	end()
+	// All controllers are gone, and with them all connections; the new one gets them at once.
+	for _, c := range callers {
+		c.conn.Close()
+		dial(c)
+	}
+	end = lead(2)
+	settle(2, most)
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	if bound := uint64(40<<20 + machines*limits.ConnBytes); m.HeapAlloc > bound {
+		t.Errorf("heap of %d bytes, want at most %d", m.HeapAlloc, bound)
+	}
+	// One for each direct command or probe at most, and those of fixed number.
+	if bound := machines + limits.UserStage + limits.CloudConns + 200; goroutines > bound {
+		t.Errorf("%d goroutines, want at most %d", goroutines, bound)
+	}
+	if n := pprof.Lookup("threadcreate").Count(); n > 200 {
+		t.Errorf("%d threads", n)
+	}
+	t.Logf("heap %d MB, %d goroutines, %d threads, %d tasks", m.HeapAlloc>>20, goroutines, pprof.Lookup("threadcreate").Count(), tasks())
+	end()
+}
--- a/internal/coordination/scheduler/bench_test.go
+++ b/internal/coordination/scheduler/bench_test.go
@@ -92,3 +92,38 @@
 func report(m int, tally uint64, tasks []protocol.TaskReport) *protocol.Report {
 	return &protocol.Report{Rig: fmt.Sprintf("m-%06d", m), Address: "x:1", Rigkind: "s", Yard: "a", Shift: 1, Tally: tally, Baton: 1, Pieces: tasks}
 }
+
+// BenchmarkTakeOver is the pass in which a new leader that has just heard of all machines fills an empty fleet from a backlog of many times its size, for
+// each task placed: it should hardly depend on the size.
+func BenchmarkTakeOver(b *testing.B) {
+	for _, machines := range []int{250, 1000, 2000} {
+		b.Run(fmt.Sprintf("machines=%d", machines), func(b *testing.B) {
+			placed := 0
+			for b.Loop() {
+				b.StopTimer()
+				options := config.DefaultOptions()
+				options.Fleet.MaxMachines = machines
+				s := New(Config{Term: 1, Teams: []config.Team{{Name: "red", CPUs: 100, CPUsMax: 1e6}}, Workers: config.Workers{ReportS: 5, LeaseS: 27, CancelS: 47},
+					State: config.State{ValueKB: 8, TxnOps: 8}, Options: options}, 0)
+				s.Step(TypesDone{OK: true, Types: []protocol.Rigkind{{Sku: "s", Vcpus: 8, RamGb: 128, PullGbPerS: 1, Price: 1, MarketPrice: 1, StartupS: 5, Yards: []string{"a"}}}}, 0)
+				s.Step(HireLoaded{Name: "h", Stamp: 1, Rec: upHire("s", machines, longName)}, 0)
+				for i := range machines / 7 {
+					s.Step(JobSeen{ID: fmt.Sprintf("job-%d", i), Stamp: uint64(i + 2), Rec: storage.Open{Spec: protocol.Spec{
+						NameId: fmt.Sprintf("job-%d", i), Docket: "c", Crew: "red", Shape: "sweep", Urgency: "standard",
+						Pieces: 150, Vcpus: 1, RamGb: 1, Bundle: "i", ReckonS: 10}}}, 0)
+				}
+				s.Step(Loaded{}, 0)
+				for m := range machines - 1 {
+					s.Step(ReportIn{Report: report(m, 1, nil), Ref: m, Entitled: true}, 0)
+				}
+				last := ReportIn{Report: report(machines-1, 1, nil), Ref: 0, Entitled: true}
+				b.StartTimer()
+				s.Step(last, 0)
+				b.StopTimer()
+				placed += int(s.teams["red"].used.cpu)
+				b.StartTimer()
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(placed), "ns/task")
+		})
+	}
+}
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -24,7 +24,7 @@
 	most     room             // no machine has more free room of any resource
 	refused  map[request]bool // requests for which no machine was found in this pass
 	holds    int              // machines that may still be held; see hold
-	cs       []candidate
+	shelves  shelves
 	short    []*machine
 }
 
@@ -218,17 +218,17 @@
 	if common && p.refused[ask] {
 		return
 	}
-	cs := s.candidates(j, pressing)
+	sh := s.candidates(j, pressing)
 	for ; n > 0 && j.team.fits(j.need); n-- {
-		best := rank(cs)
+		best := rank(sh.cs)
 		if best < 0 {
 			if common {
 				p.refused[ask] = true
 			}
 			return
 		}
-		m := cs[best].m
-		victims, ok := s.victims(j, &cs[best])
+		m := sh.cs[best].m
+		victims, ok := s.victims(j, &sh.cs[best])
 		if !ok {
 			return
 		}
@@ -245,13 +245,12 @@
 			clear(p.refused) // others may find room, or tasks to stop, that were not there before
 		}
 		if j.spec.Together || j.spec.Scatter {
-			cs = s.candidates(j, pressing) // where the others may go depends on where this one went
+			sh = s.candidates(j, pressing) // where the others may go depends on where this one went
 			continue
 		}
+		sh.takeFirst(best)
 		if c, ok := s.candidate(j, m, pressing); ok {
-			cs[best] = c
-		} else {
-			cs = append(cs[:best], cs[best+1:]...)
+			sh.add(c)
 		}
 	}
 }
@@ -423,21 +422,70 @@
 	weighSpeed:      limits.WeighSpeed,
 }
 
-// candidates are the machines that pass the filters for a task of the job, with their scores, by name.
-func (s *Scheduler) candidates(j *job, pressing bool) []candidate {
+// shelves are candidates put together by their scores, as only the first by name of those that are alike can be the best: on a large fleet most are alike, and ranking
+// costs by the number of shelves, not of machines.
+type shelves struct {
+	cs []candidate  // the first of each shelf
+	ms [][]*machine // all of each, by name
+	at map[[weighers]float64]int
+}
+
+func (sh *shelves) clear() {
+	sh.cs, sh.ms = sh.cs[:0], sh.ms[:0]
+	if sh.at == nil {
+		sh.at = map[[weighers]float64]int{}
+	}
+	clear(sh.at)
+}
+
+func (sh *shelves) add(c candidate) {
+	i, ok := sh.at[c.scores]
+	if !ok {
+		i = len(sh.cs)
+		sh.at[c.scores] = i
+		sh.cs = append(sh.cs, c)
+		if i < cap(sh.ms) {
+			sh.ms = sh.ms[:i+1] // with the memory of an earlier job's
+			sh.ms[i] = append(sh.ms[i][:0], c.m)
+		} else {
+			sh.ms = append(sh.ms, []*machine{c.m})
+		}
+		return
+	}
+	k, _ := slices.BinarySearchFunc(sh.ms[i], c.m, byName)
+	sh.ms[i] = slices.Insert(sh.ms[i], k, c.m)
+	sh.cs[i].m = sh.ms[i][0]
+}
+
+// takeFirst takes the first machine off a shelf.
+func (sh *shelves) takeFirst(i int) {
+	if sh.ms[i] = slices.Delete(sh.ms[i], 0, 1); len(sh.ms[i]) > 0 {
+		sh.cs[i].m = sh.ms[i][0]
+		return
+	}
+	last := len(sh.cs) - 1
+	delete(sh.at, sh.cs[i].scores)
+	if i != last {
+		sh.cs[i], sh.ms[i], sh.ms[last] = sh.cs[last], sh.ms[last], sh.ms[i]
+		sh.at[sh.cs[i].scores] = i
+	}
+	sh.cs, sh.ms = sh.cs[:last], sh.ms[:last]
+}
+
+// candidates are the machines that pass the filters for a task of the job, with their scores.
+func (s *Scheduler) candidates(j *job, pressing bool) *shelves {
 	p := &s.pass
-	cs := p.cs[:0]
+	p.shelves.clear()
 	from := p.machines
 	if !pressing {
 		from = p.roomy // a request that may stop nothing needs free room
 	}
 	for _, m := range from {
 		if c, ok := s.candidate(j, m, pressing); ok {
-			cs = append(cs, c)
+			p.shelves.add(c)
 		}
 	}
-	p.cs = cs
-	return cs
+	return &p.shelves
 }
 
 // candidate filters and scores one machine.
@@ -473,7 +521,7 @@
 	c.scores[weighPack] = -left.cpu
 	c.scores[weighPrice] = -m.price() / max(m.typ.Vcpus, 1)
 	if m.speedN >= 3 {
-		c.scores[weighSpeed] = -m.speedSum / float64(m.speedN)
+		c.scores[weighSpeed] = -math.Round(m.speedSum/float64(m.speedN)/limits.SpeedStep) * limits.SpeedStep
 	} else {
 		c.scores[weighSpeed] = -1
 	}
@@ -523,7 +571,7 @@
 				sum += multipliers[w] * (cs[i].scores[w] - lo[w]) / (hi[w] - lo[w])
 			}
 		}
-		if best < 0 || sum > top {
+		if best < 0 || sum > top || (sum == top && cs[i].m.name < cs[best].m.name) {
 			best, top = i, sum
 		}
 	}
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -66,7 +66,7 @@
 }
 
 func TestRank(t *testing.T) {
-	var free, dearer, stops candidate
+	free, dearer, stops := candidate{m: &machine{name: "a"}}, candidate{m: &machine{name: "b"}}, candidate{m: &machine{name: "c"}}
 	free.scores[weighPrice] = -5 // free room comes first, however dear
 	dearer.scores[weighOvercommit], dearer.scores[weighCost], dearer.scores[weighPrice] = -1, -20, -1
 	stops.scores[weighOvercommit], stops.scores[weighCost], stops.scores[weighPrice] = -1, -3, -4
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -115,7 +115,7 @@
 	// MadeShare is the part that inbound connections leave to connections to workers, for probes and direct commands when all else is taken.
 	MadeShare = 0.03
 	// StaleShare is the part of the machines' connections that may be dead ones, not swept yet, or of machines that are not ours any more.
-	StaleShare = 0.15
+	StaleShare = 0.1
 	// ProbeShare is the part of the sockets that probes may hold at once, ProbesMost the most of them: a new leader asks all machines at once, and those that
 	// are out of reach hold theirs for ProbeTimeout.
 	ProbeShare = 0.2
@@ -223,6 +223,9 @@
 	WeighPack = 4.0
 	// WeighSpeed prefers machines seen to be fast.
 	WeighSpeed = 1.0
+	// SpeedStep is the step in which observed speeds are compared, as a share of the usual run time: healthy machines differ by a tenth, and what is seen of one
+	// is not exact.
+	SpeedStep = 0.05
 	// FreshReports is how many report intervals a machine may be silent and still get tasks.
 	FreshReports = 2.5
 	// SickErrors is how many failures in a row, with no success between, make a machine suspect.
