--- a/internal/coordination/gateway/thousands_test.go
+++ b/internal/coordination/gateway/thousands_test.go
@@ -90,12 +90,13 @@
 	}
 	write(storage.KeyTypes, storage.Types{Rigkinds: []protocol.Rigkind{typ}})
 	for i := 0; i < machines; i += each {
-		h := storage.Hire{Rigkind: "s", Yard: "a", Number: each, Answered: true}
+		h, u := storage.Hire{Rigkind: "s", Yard: "a", Number: each, Answered: true}, storage.Ups{}
 		for k := range each {
 			h.Rigs = append(h.Rigs, name(i+k))
-			h.Up = append(h.Up, storage.Up{Rig: name(i + k), Address: "127.0.0.1:1"})
+			u.Rigs = append(u.Rigs, storage.Up{Rig: name(i + k), Address: "127.0.0.1:1"})
 		}
 		write(storage.HireKey(fmt.Sprintf("h-%d", i)), h)
+		write(storage.UpKey(fmt.Sprintf("0-%d", i)), u)
 	}
 	for i := range jobs {
 		id := fmt.Sprintf("job-%d", i)
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -276,6 +276,17 @@
 		evs = append(evs, scheduler.HireLoaded{Name: strings.TrimPrefix(p.Path, storage.PrefixHire), Stamp: p.Stamp, Rec: h})
 		return nil
 	})
+	if err != nil {
+		return 0, nil, err
+	}
+	_, err = t.d.store.List(ctx, storage.PrefixUp, func(p protocol.Pair) error {
+		var u storage.Ups
+		if err := protocol.Decode(p.Data, &u); err != nil {
+			return fmt.Errorf("%s: %w", p.Path, err)
+		}
+		evs = append(evs, scheduler.UpLoaded{Name: strings.TrimPrefix(p.Path, storage.PrefixUp), Stamp: p.Stamp, Rec: u})
+		return nil
+	})
 	return ledger, evs, err
 }
 
--- a/internal/coordination/scheduler/bench_test.go
+++ b/internal/coordination/scheduler/bench_test.go
@@ -25,7 +25,7 @@
 	s := New(Config{Term: 1, Teams: []config.Team{{Name: "red", CPUs: 100, CPUsMax: 20000}, {Name: "blue", CPUs: 100, CPUsMax: 20000}},
 		Workers: config.Workers{ReportS: 1.5, LeaseS: 14, CancelS: 34}, State: config.State{ValueKB: 4, TxnOps: 8}, Options: options}, 0)
 	s.Step(TypesDone{OK: true, Types: []protocol.Rigkind{{Sku: "s", Vcpus: cpus, RamGb: 128, PullGbPerS: 1, Price: 1, MarketPrice: 1, StartupS: 5, Yards: []string{"a"}}}}, 0)
-	s.Step(HireLoaded{Name: "h", Stamp: 1, Rec: upHire("s", machines, longName)}, 0)
+	loadUp(s, "h", upHire("s", machines, longName), 0)
 	s.Step(Loaded{}, 0)
 	for i := range jobs {
 		s.Step(JobSeen{ID: fmt.Sprintf("job-%d", i), Stamp: uint64(i + 2), Rec: storage.Open{Spec: protocol.Spec{
@@ -106,7 +106,7 @@
 				s := New(Config{Term: 1, Teams: []config.Team{{Name: "red", CPUs: 100, CPUsMax: 1e6}}, Workers: config.Workers{ReportS: 5, LeaseS: 27, CancelS: 47},
 					State: config.State{ValueKB: 8, TxnOps: 8}, Options: options}, 0)
 				s.Step(TypesDone{OK: true, Types: []protocol.Rigkind{{Sku: "s", Vcpus: 8, RamGb: 128, PullGbPerS: 1, Price: 1, MarketPrice: 1, StartupS: 5, Yards: []string{"a"}}}}, 0)
-				s.Step(HireLoaded{Name: "h", Stamp: 1, Rec: upHire("s", machines, longName)}, 0)
+				loadUp(s, "h", upHire("s", machines, longName), 0)
 				for i := range machines / 7 {
 					s.Step(JobSeen{ID: fmt.Sprintf("job-%d", i), Stamp: uint64(i + 2), Rec: storage.Open{Spec: protocol.Spec{
 						NameId: fmt.Sprintf("job-%d", i), Docket: "c", Crew: "red", Shape: "sweep", Urgency: "standard",
--- a/internal/coordination/scheduler/events.go
+++ b/internal/coordination/scheduler/events.go
@@ -39,6 +39,13 @@
 	Rec   storage.Hire
 }
 
+// UpLoaded is a sheet of marked machines, read at the start of a term after all rentals.
+type UpLoaded struct {
+	Name  string
+	Stamp uint64
+	Rec   storage.Ups
+}
+
 // Loaded ends the reading at the start of a term.
 type Loaded struct{}
 
@@ -112,6 +119,7 @@
 func (JobLeft) event()    {}
 func (FinLoaded) event()  {}
 func (HireLoaded) event() {}
+func (UpLoaded) event()   {}
 func (Loaded) event()     {}
 func (ReportIn) event()   {}
 func (ProbeDone) event()  {}
--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -19,7 +19,7 @@
 }
 
 func (s *Scheduler) hireLoaded(e HireLoaded) {
-	h := &hire{name: e.Name, rec: e.Rec, stamp: e.Stamp, at: s.now, state: hireAsking}
+	h := &hire{name: e.Name, rec: e.Rec, stamp: e.Stamp, at: s.now, state: hireAsking, known: e.Rec.Answered}
 	s.hires[e.Name] = h
 	if e.Rec.Answered {
 		h.state = hireAnswered
@@ -29,10 +29,6 @@
 	for _, name := range e.Rec.Rigs {
 		s.machine(name, e.Rec.Rigkind, e.Rec.Yard, e.Rec.Lendable).hire = h.name
 	}
-	for _, u := range e.Rec.Up {
-		m := s.machine(u.Rig, e.Rec.Rigkind, e.Rec.Yard, e.Rec.Lendable)
-		m.hire, m.mark, m.addr = h.name, marked, u.Address
-	}
 }
 
 // hireMachines starts a rental: its name is durable before the request leaves, so that a successor can ask for the answer.
@@ -53,11 +49,7 @@
 	}
 	h.writing, h.dirty = true, false
 	key := storage.HireKey(h.name)
-	var marks []string
-	for _, u := range h.rec.Up {
-		marks = append(marks, u.Rig)
-	}
-	s.write(pendingWrite{kind: writeHire, hire: h.name, marks: marks}, []protocol.Guard{{Path: key, Stamp: h.stamp}},
+	s.write(pendingWrite{kind: writeHire, hire: h.name, known: h.rec.Answered}, []protocol.Guard{{Path: key, Stamp: h.stamp}},
 		[]protocol.Op{{Write: key, Data: protocol.Encode(h.rec)}})
 }
 
@@ -73,10 +65,12 @@
 		return
 	}
 	h.stamp = rev
-	for _, name := range p.marks {
-		if m := s.machines[name]; m != nil && m.mark == marking {
-			m.mark = marked
-			s.owe(m)
+	if p.known && !h.known {
+		h.known = true
+		for _, name := range h.rec.Rigs {
+			if m := s.machines[name]; m != nil && m.seen {
+				s.markUp(m) // it was up before its rental's record was written
+			}
 		}
 	}
 	if h.state == hireWriting {
@@ -104,21 +98,6 @@
 		[]protocol.Op{{Remove: key}})
 }
 
-// markUp writes down that a machine may get tasks from now on.
-func (s *Scheduler) markUp(m *machine) {
-	if m.hire == "" {
-		s.cover(m)
-	}
-	h := s.hires[m.hire]
-	if h == nil || m.mark != unmarked {
-		return
-	}
-	m.mark = marking
-	h.rec.Up = append(h.rec.Up, storage.Up{Rig: m.name, Address: m.addr})
-	h.dirty = true
-	s.keepHire(h)
-}
-
 // cover makes a record for a machine that no rental of ours accounts for.
 func (s *Scheduler) cover(m *machine) {
 	h := &hire{name: "found-" + m.name, state: hireAnswered, at: s.now,
@@ -323,6 +302,7 @@
 		s.sumAt = s.now + limits.SummaryEvery
 		s.summary()
 	}
+	s.writeMarks()
 	s.probe()
 	s.dropBroken()
 	if s.now >= s.planAt && (s.settled || s.now > s.took+s.stale()) && len(s.types) > 0 {
--- a/internal/coordination/scheduler/model.go
+++ b/internal/coordination/scheduler/model.go
@@ -228,6 +228,7 @@
 
 	hire      string
 	mark      mark
+	sheet     *sheet        // that names it
 	probeAt   time.Duration // when to ask the machine directly, after a take-over
 	created   time.Duration
 	upAt      time.Duration
@@ -276,15 +277,6 @@
 	return m.typ.Price
 }
 
-// mark tells whether the state service knows that a machine may hold tasks.
-type mark uint8
-
-const (
-	unmarked mark = iota
-	marking       // in the record in memory
-	marked        // durable
-)
-
 type hireState uint8
 
 const (
@@ -305,6 +297,7 @@
 	at      time.Duration
 	dirty   bool // the record in memory is newer than the written one
 	writing bool
+	known   bool // the written record names the machines
 }
 
 // pool is one type in one zone of one kind.
@@ -353,6 +346,12 @@
 	pools    map[pool]*poolState
 	writes   map[uint64]pendingWrite
 
+	sheets     []*sheet // in the order in which they were made
+	sheet      *sheet   // that new machines go on
+	sheetSeq   uint64
+	marksDirty bool // some sheet has machines that are not written yet
+	marksAt    time.Duration
+
 	seq      uint64 // of attempts
 	hireSeq  uint64
 	writeSeq uint64
@@ -400,6 +399,7 @@
 		writes:   map[uint64]pendingWrite{},
 		pass:     pass{refused: map[request]bool{}},
 		inZone:   map[string]int{},
+		marksAt:  now - limits.MarkEvery,
 		services: map[group]service{}, closedServices: map[group]service{},
 	}
 	for _, t := range cfg.Teams {
@@ -445,6 +445,7 @@
 	s.note(false, "machine gone", "machine", m.name, "reason", m.deleteWhy, "type", m.kind, "spot", m.spot, "cpus", m.size().cpu, "life", life, "boot", boot,
 		"useful", m.useful, "wasted", m.wasted, "fetched", m.fetched)
 	delete(s.machines, m.name)
+	s.unmark(m)
 	for i, x := range s.fleet {
 		if x == m {
 			s.fleet = append(s.fleet[:i], s.fleet[i+1:]...)
@@ -453,7 +454,6 @@
 	}
 	if h := s.hires[m.hire]; h != nil {
 		h.rec.Rigs = slices.DeleteFunc(h.rec.Rigs, func(n string) bool { return n == m.name })
-		h.rec.Up = slices.DeleteFunc(h.rec.Up, func(u storage.Up) bool { return u.Rig == m.name })
 		h.dirty = true
 	}
 }
--- a/internal/coordination/scheduler/pass_test.go
+++ b/internal/coordination/scheduler/pass_test.go
@@ -75,8 +75,7 @@
 	var rigs []*protocol.Report
 	for i := range 3 + r.IntN(14) {
 		g := &protocol.Report{Rig: fmt.Sprintf("m-%03d", i), Address: "x:1", Rigkind: pick("s4", "b8"), Yard: pick("a", "b"), Lendable: r.IntN(2) == 0, Shift: 1, Tally: 1, Baton: 1}
-		s.Step(HireLoaded{Name: "h" + g.Rig, Stamp: uint64(i + 1), Rec: storage.Hire{Rigkind: g.Rigkind, Yard: g.Yard, Lendable: g.Lendable, Number: 1,
-			Answered: true, Rigs: []string{g.Rig}, Up: []storage.Up{{Rig: g.Rig, Address: "x:1"}}}}, now)
+		loadUp(s, "h"+g.Rig, storage.Hire{Rigkind: g.Rigkind, Yard: g.Yard, Lendable: g.Lendable, Number: 1, Answered: true, Rigs: []string{g.Rig}}, now)
 		rigs = append(rigs, g)
 	}
 	used := map[string]float64{}
@@ -166,7 +165,7 @@
 		Options:    config.DefaultOptions()}, now)
 	s.Step(TypesDone{OK: true, Types: []protocol.Rigkind{{Sku: "s", Vcpus: cpus, RamGb: 64, PullGbPerS: 1, Price: 1, MarketPrice: 1, StartupS: 5, Yards: []string{"a"}}}}, now)
 	h := upHire("s", machines, longName)
-	s.Step(HireLoaded{Name: "h", Stamp: 1, Rec: h}, now)
+	loadUp(s, "h", h, now)
 	s.Step(Loaded{}, now)
 
 	type task struct {
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -99,17 +99,26 @@
 		Teams:   []config.Team{{Name: "red", CPUs: 8, CPUsMax: 100}, {Name: "blue", CPUs: 8, CPUsMax: 100}},
 		Workers: config.Workers{ReportS: 2, LeaseS: 14, CancelS: 34}, State: config.State{WriteRPS: 20, ValueKB: 4, TxnOps: 8}, Options: config.DefaultOptions()}, 0)}
 	b.step(TypesDone{OK: true, Types: []protocol.Rigkind{{Sku: "s8", Vcpus: 8, RamGb: 32, PullGbPerS: 1, Price: 1, MarketPrice: 1, StartupS: 5, Yards: []string{"a"}}}})
-	b.step(HireLoaded{Name: "h-1-1", Stamp: 1, Rec: upHire("s8", machines, b.rig)})
+	loadUp(b.s, "h-1-1", upHire("s8", machines, b.rig), b.now)
 	b.step(Loaded{})
 	return b
 }
 
-// upHire is the record of a rental whose machines are all up.
+// loadUp loads a rental whose machines are all up.
+func loadUp(s *Scheduler, name string, h storage.Hire, now time.Duration) {
+	s.Step(HireLoaded{Name: name, Stamp: 1, Rec: h}, now)
+	var u storage.Ups
+	for _, rig := range h.Rigs {
+		u.Rigs = append(u.Rigs, storage.Up{Rig: rig, Address: "x:1"})
+	}
+	s.Step(UpLoaded{Name: name, Stamp: 1, Rec: u}, now)
+}
+
+// upHire is the record of a rental with its machines.
 func upHire(kind string, machines int, name func(int) string) storage.Hire {
 	h := storage.Hire{Rigkind: kind, Yard: "a", Number: machines, Answered: true}
 	for i := range machines {
 		h.Rigs = append(h.Rigs, name(i))
-		h.Up = append(h.Up, storage.Up{Rig: name(i), Address: "x:1"})
 	}
 	return h
 }
@@ -249,7 +258,7 @@
 	orders := b.report(0)
 	var mark *WriteOut
 	for _, e := range b.out {
-		if w, ok := e.(WriteOut); ok && w.Ops[0].Write == storage.HireKey("h-2-1") {
+		if w, ok := e.(WriteOut); ok && w.Ops[0].Write == storage.UpKey("3-1") {
 			mark = &w
 		}
 	}
@@ -262,6 +271,84 @@
 	}
 }
 
+// marksOut are the writes of marks among the effects.
+func (b *bed) marksOut() []WriteOut {
+	var out []WriteOut
+	for _, e := range b.out {
+		if w, ok := e.(WriteOut); ok && strings.HasPrefix(w.Ops[0].Write, storage.PrefixUp) {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// TestMarksTogether: machines of several rentals that come up at once are marked by few writes, each within the size of a value; none is marked before its
+// rental's record names it, as a successor ignores marks that no rental accounts for; and a successor finds all of them.
+func TestMarksTogether(t *testing.T) {
+	b := newBed(t, 0)
+	const rentals, each = 4, 50
+	for i := range rentals {
+		h := storage.Hire{Rigkind: "s8", Yard: "a", Number: each, Answered: true}
+		for k := range each {
+			h.Rigs = append(h.Rigs, b.rig(i*each+k))
+		}
+		b.step(HireLoaded{Name: fmt.Sprintf("h-2-%d", i), Stamp: 7, Rec: h})
+	}
+	b.s.hires["h-2-3"].known = false // its answer is being written
+	var writes []WriteOut
+	for i := range rentals * each {
+		b.report(i)
+		b.now -= 9 * time.Millisecond
+		writes = append(writes, b.marksOut()...)
+	}
+	rev := uint64(100)
+	for n := 0; n < len(writes); n++ {
+		rev++
+		b.now += limits.MarkEvery
+		b.step(WriteDone{ID: writes[n].ID, OK: true, Rev: rev})
+		writes = append(writes, b.marksOut()...)
+	}
+	if len(writes) > 8 {
+		t.Errorf("%d writes for %d machines", len(writes), rentals*each)
+	}
+	next := newBed(t, 0)
+	for i := range rentals {
+		next.step(HireLoaded{Name: fmt.Sprintf("h-2-%d", i), Stamp: 7, Rec: b.s.hires[fmt.Sprintf("h-2-%d", i)].rec})
+	}
+	last := map[string]WriteOut{}
+	for _, w := range writes {
+		last[w.Ops[0].Write] = w
+	}
+	for key, w := range last {
+		var u storage.Ups
+		if err := protocol.Decode(w.Ops[0].Data, &u); err != nil {
+			t.Fatal(err)
+		}
+		if !storage.Fits(u, b.s.cfg.State.ValueKB) {
+			t.Errorf("a sheet of %d bytes", storage.Size(u))
+		}
+		next.step(UpLoaded{Name: key, Stamp: 9, Rec: u})
+	}
+	for i := range rentals * each {
+		known := i < (rentals-1)*each
+		if got := b.s.machines[b.rig(i)].mark == marked; got != known {
+			t.Fatalf("machine %d marked: %v, its rental's record written: %v", i, got, known)
+		}
+		if m := next.s.machines[b.rig(i)]; (m.mark == marked && m.addr != "") != known {
+			t.Fatalf("machine %d at the successor: mark %v, address %q", i, m.mark, m.addr)
+		}
+	}
+	// Once the record is written the others are marked too.
+	h := b.s.hires["h-2-3"]
+	h.writing = true
+	b.s.writes[9999] = pendingWrite{kind: writeHire, hire: h.name, known: true}
+	b.now += limits.MarkEvery
+	b.step(WriteDone{ID: 9999, OK: true, Rev: rev + 1})
+	if len(b.marksOut()) == 0 {
+		t.Error("not marked when the rental's record is written")
+	}
+}
+
 // TestDirectAnswerIsNoEvidence: a start that went out in the answer to a report may still be on its way when a direct command is
 // answered; only the next report shows that it is lost.
 func TestDirectAnswerIsNoEvidence(t *testing.T) {
--- a/internal/coordination/scheduler/step.go
+++ b/internal/coordination/scheduler/step.go
@@ -18,16 +18,19 @@
 	writeFinal
 	writeHire
 	writeHireRemove
+	writeUps
+	writeUpsRemove
 )
 
 // pendingWrite is what a WriteOut was for.
 type pendingWrite struct {
 	kind  writeKind
 	j     *job
-	n     int    // chunk
+	n     int    // chunk; of a sheet, how many machines of it this write makes durable
 	ver   uint64 // chunk version
 	hire  string
-	marks []string // machines whose mark this write makes durable
+	known bool // this write makes a rental's machines durable
+	sheet *sheet
 }
 
 // Step takes one event. The effects are to be carried out in order.
@@ -47,6 +50,8 @@
 		s.finLoaded(e)
 	case HireLoaded:
 		s.hireLoaded(e)
+	case UpLoaded:
+		s.upLoaded(e)
 	case Loaded:
 		s.note(false, "rebuilding", "jobs", len(s.jobs), "machines", len(s.machines), "hires", len(s.hires))
 		s.loaded, s.typesAt, s.listAt = true, 0, 0
@@ -359,6 +364,8 @@
 		// Otherwise it was cancelled meanwhile: the watch brings the new record, and finish runs again.
 	case writeHire:
 		s.hireWritten(p, e.OK, e.Rev)
+	case writeUps:
+		s.marksWritten(p, e.OK, e.Rev)
 	case writeHireRemove:
 		if e.OK {
 			delete(s.hires, p.hire)
--- a/internal/coordination/scheduler/world_test.go
+++ b/internal/coordination/scheduler/world_test.go
@@ -181,6 +181,11 @@
 		w.must(protocol.Decode(w.keys[k].data, &h))
 		w.step(c, HireLoaded{Name: k[len("hire/"):], Stamp: w.keys[k].stamp, Rec: h})
 	}
+	for _, k := range w.sortedKeys("up/") {
+		var u storage.Ups
+		w.must(protocol.Decode(w.keys[k].data, &u))
+		w.step(c, UpLoaded{Name: k[len("up/"):], Stamp: w.keys[k].stamp, Rec: u})
+	}
 	w.step(c, Loaded{})
 }
 
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -262,6 +262,10 @@
 	FlushEvery = 3 * time.Second
 	// FinFrame is what a record of finished tasks needs beside the bitmap, in bytes, rounded up.
 	FinFrame = 128
+	// SheetFrame is what a sheet of marked machines needs beside its entries, and each entry beside its own JSON, in bytes, rounded up.
+	SheetFrame = 16
+	// MarkEvery is the least time between two writes of new machines: what comes up meanwhile goes into one, and a machine takes many times as long to boot.
+	MarkEvery = 200 * time.Millisecond
 	// FlushShare is the part of the state service's writes that may go into finished tasks: a third of what is not the users'. Final records, rentals and marks
 	// need the rest, and nothing starts or ends without them.
 	FlushShare = 0.2
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 
@@ -21,6 +22,7 @@
 	PrefixOpen = "open/"
 	PrefixFin  = "fin/"
 	PrefixHire = "hire/"
+	PrefixUp   = "up/"
 )
 
 // OpenKey is where a job that is not over is kept.
@@ -52,6 +54,9 @@
 // HireKey is where a rental request is kept.
 func HireKey(name string) string { return PrefixHire + name }
 
+// UpKey is where a sheet of machines that may hold tasks is kept.
+func UpKey(name string) string { return PrefixUp + name }
+
 // Leader names the leading controller.
 type Leader struct {
 	Node  string
@@ -89,7 +94,6 @@
 	Number   int
 	Answered bool
 	Rigs     []string // machines that are not gone
-	Up       []Up     // those that may have been given tasks
 }
 
 // Up is a machine that reported. It is written before the machine gets its first task, so a new leader knows
@@ -99,6 +103,9 @@
 	Address string
 }
 
+// Ups is a sheet of such machines.
+type Ups struct{ Rigs []Up }
+
 // Types caches the machine types, so that a node can check submissions after a restart.
 type Types struct{ Rigkinds []protocol.Rigkind }
 
@@ -147,8 +154,14 @@
 	return nil
 }
 
-// Fits tells whether a value keeps to the service's size limit, which is counted in JSON.
-func Fits(v any, valueKB float64) bool {
+// Size is the size of a value as the service counts it, in JSON.
+func Size(v any) int {
 	b, err := json.Marshal(v)
-	return err == nil && float64(len(b)) <= valueKB*1024
+	if err != nil {
+		return math.MaxInt // no record of ours
+	}
+	return len(b)
 }
+
+// Fits tells whether a value keeps to the service's size limit.
+func Fits(v any, valueKB float64) bool { return float64(Size(v)) <= valueKB*1024 }
