--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -107,11 +107,18 @@
 		rsp.Respond(405, nil, 0)
 		return
 	}
-	// A full stage is told at once to come back, before any work is spent on the request.
+	// What a full stage can't take is told at once to come back, unless nothing can become of it anyway.
 	select {
 	case g.stage <- struct{}{}:
 	default:
-		rsp.Respond(503, nil, limits.RetryAfter)
+		switch {
+		case action != submit && !protocol.ValidJobID(id):
+			rsp.Respond(404, nil, 0)
+		case action == submit && malformed(req.Body):
+			rsp.Respond(400, nil, 0)
+		default:
+			rsp.Respond(503, nil, limits.RetryAfter)
+		}
 		return
 	}
 	arrived := time.Now()
@@ -146,6 +153,11 @@
 	}()
 }
 
+func malformed(body []byte) bool {
+	_, err := protocol.ParseSpec(body)
+	return err != nil
+}
+
 // health is 503 while we alone do not reach the state service: then users are better served by another node. In an outage for all it stays
 // 200, as it would help nobody if all nodes were taken out.
 func (g *Gateway) health() int {
--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -239,4 +239,20 @@
 	if status, _, m := f.do("POST", "/v2/runs", run("job-1", nil)); status != 503 || m.RetryAfter == 0 {
 		t.Fatalf("%d, retry after %d", status, m.RetryAfter)
 	}
+	// What can never be taken is said so, instead of making the user come again.
+	for _, c := range []struct {
+		method, path string
+		body         any
+		want         int
+	}{
+		{"POST", "/v2/runs", run("job-1", map[string]any{"Pieces": 0}), 400},
+		{"GET", "/v2/runs/none", nil, 404},
+		{"POST", "/v2/runs/none/cancel", nil, 404},
+		{"GET", "/v2/other", nil, 404},
+		{"GET", "/v2/runs", nil, 405},
+	} {
+		if status, _, _ := f.do(c.method, c.path, c.body); status != c.want {
+			t.Errorf("%s %s: %d, want %d", c.method, c.path, status, c.want)
+		}
+	}
 }
--- a/internal/coordination/scheduler/bench_test.go
+++ b/internal/coordination/scheduler/bench_test.go
@@ -101,21 +101,7 @@
 			placed := 0
 			for b.Loop() {
 				b.StopTimer()
-				options := config.DefaultOptions()
-				options.Fleet.MaxMachines = machines
-				s := New(Config{Term: 1, Teams: []config.Team{{Name: "red", CPUs: 100, CPUsMax: 1e6}}, Workers: config.Workers{ReportS: 5, LeaseS: 27, CancelS: 47},
-					State: config.State{ValueKB: 8, TxnOps: 8}, Options: options}, 0)
-				s.Step(TypesDone{OK: true, Types: []protocol.Rigkind{{Sku: "s", Vcpus: 8, RamGb: 128, PullGbPerS: 1, Price: 1, MarketPrice: 1, StartupS: 5, Yards: []string{"a"}}}}, 0)
-				loadUp(s, "h", upHire("s", machines, longName), 0)
-				for i := range machines / 7 {
-					s.Step(JobSeen{ID: fmt.Sprintf("job-%d", i), Stamp: uint64(i + 2), Rec: storage.Open{Spec: protocol.Spec{
-						NameId: fmt.Sprintf("job-%d", i), Docket: "c", Crew: "red", Shape: "sweep", Urgency: "standard",
-						Pieces: 150, Vcpus: 1, RamGb: 1, Bundle: "i", ReckonS: 10}}}, 0)
-				}
-				s.Step(Loaded{}, 0)
-				for m := range machines - 1 {
-					s.Step(ReportIn{Report: report(m, 1, nil), Ref: m, Entitled: true}, 0)
-				}
+				s := heardOf(machines, machines-1)
 				last := ReportIn{Report: report(machines-1, 1, nil), Ref: 0, Entitled: true}
 				b.StartTimer()
 				s.Step(last, 0)
@@ -127,3 +113,44 @@
 		})
 	}
 }
+
+// BenchmarkPlan is the plan of the fleet, made once a second, with a full fleet and a backlog that grows with it. It must look at each machine and each job; its
+// cost should not grow as their product.
+func BenchmarkPlan(b *testing.B) {
+	for _, machines := range []int{250, 500, 1000, 2000} {
+		b.Run(fmt.Sprintf("machines=%d", machines), func(b *testing.B) {
+			s := fullFleet(machines)
+			for b.Loop() {
+				s.plan()
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*machines), "ns/machine")
+		})
+	}
+}
+
+// heardOf is a new leader with a backlog of many times an empty fleet that has heard of some of its machines.
+func heardOf(machines, heard int) *Scheduler {
+	options := config.DefaultOptions()
+	options.Fleet.MaxMachines = machines
+	s := New(Config{Term: 1, Teams: []config.Team{{Name: "red", CPUs: 100, CPUsMax: 1e6}}, Workers: config.Workers{ReportS: 5, LeaseS: 27, CancelS: 47},
+		State: config.State{ValueKB: 8, TxnOps: 8}, Options: options}, 0)
+	s.Step(TypesDone{OK: true, Types: []protocol.Rigkind{{Sku: "s", Vcpus: 8, RamGb: 128, PullGbPerS: 1, Price: 1, MarketPrice: 1, StartupS: 5, Yards: []string{"a"}}}}, 0)
+	loadUp(s, "h", upHire("s", machines, longName), 0)
+	for i := range machines / 7 {
+		s.Step(JobSeen{ID: fmt.Sprintf("job-%d", i), Stamp: uint64(i + 2), Rec: storage.Open{Spec: protocol.Spec{
+			NameId: fmt.Sprintf("job-%d", i), Docket: "c", Crew: "red", Shape: "sweep", Urgency: "standard",
+			Pieces: 150, Vcpus: 1, RamGb: 1, Bundle: "i", ReckonS: 10}}}, 0)
+	}
+	s.Step(Loaded{}, 0)
+	for m := range heard {
+		s.Step(ReportIn{Report: report(m, 1, nil), Ref: m, Entitled: true}, 0)
+	}
+	return s
+}
+
+// fullFleet is a leader with all machines in use and a backlog left.
+func fullFleet(machines int) *Scheduler {
+	s := heardOf(machines, machines)
+	s.Step(Tick{Entitled: true}, time.Second)
+	return s
+}
--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -688,7 +688,9 @@
 		return
 	}
 	open := func(p pool) bool { return fresh[p] < float64(may(p)) }
-	within := max(s.patience(j), s.soonest(j)) // what starts before a new machine can be up needs none
+	// What starts before a new machine can be up needs none. What has waited as long already can't wait as long again, or a queue that is always as long
+	// would never be worked off.
+	within := max(max(s.patience(j), s.soonest(j))-(s.now-j.at).Seconds(), 0)
 	var p pool
 	var t *protocol.Rigkind
 	carry := 0.0
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -789,6 +789,12 @@
 	if n := wanted(); n < 5 || n > 7 {
 		t.Errorf("%d machines wanted for 8 tasks beside a fleet that has just begun, want 5 to 7", n)
 	}
+	// What has waited for as long as a machine takes to boot does not wait as long again.
+	b.step(JobSeen{ID: "job-3", Stamp: 500, Age: 20 * time.Second, Rec: storage.Open{Spec: protocol.Spec{NameId: "job-3", Docket: "c", Crew: "blue", Shape: "sweep",
+		Urgency: "high", Pieces: 4, Vcpus: 8, RamGb: 1, Bundle: "i", ReckonS: 10}}})
+	if n := wanted(); n < 9 || n > 11 {
+		t.Errorf("%d machines wanted with 4 more tasks that have waited long, want 9 to 11", n)
+	}
 	b = newBed(t, 10)
 	for i := range 10 {
 		b.report(i)
