--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -306,7 +306,7 @@
 	s.probe()
 	s.dropBroken()
 	if s.now >= s.planAt && (s.settled || s.now > s.took+s.stale()) && len(s.types) > 0 {
-		s.planAt = s.now + limits.PlanEvery - limits.TickEvery/2 // or a tick that comes a hair early would skip a turn
+		s.planAt = s.now + limits.PlanEvery
 		s.plan()
 	}
 	var names []string
