--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -177,14 +177,12 @@
 		return
 	}
 	s.typesAt = s.now + limits.TypesEvery
-	s.lowest = math.Inf(1)
 	clear(s.types)
 	s.kinds = s.kinds[:0]
 	for i := range e.Types {
 		t := e.Types[i]
 		s.types[t.Sku] = &t
 		s.kinds = append(s.kinds, t.Sku)
-		s.lowest = min(s.lowest, s.perCPU(pool{kind: t.Sku, spot: true}), s.perCPU(pool{kind: t.Sku}))
 	}
 	sort.Strings(s.kinds)
 	for _, m := range s.fleet {
@@ -552,7 +550,7 @@
 			s.hireMachines(p, n)
 		}
 	}
-	keep := s.drain()
+	s.drain()
 	for _, m := range s.fleet {
 		if !s.settled || m.deleting || !m.seen || m.wanted || len(m.binds) > 0 || m.hire == "" {
 			continue
@@ -569,10 +567,6 @@
 			idle = limits.DrainReturn
 		}
 		if s.now > m.idleSince+idle && s.now > m.created+limits.LeastCharge {
-			if keep >= m.size().cpu && !s.dear(m) {
-				keep -= m.size().cpu // a dear machine that is still busy goes first
-				continue
-			}
 			s.remove(m, "idle")
 		}
 	}
@@ -581,19 +575,26 @@
 // perCPU is what a CPU of a pool costs an hour.
 func (s *Scheduler) perCPU(p pool) float64 {
 	t := s.types[p.kind]
-	return perCPU(&machine{typ: t, spot: p.spot})
+	return (&machine{typ: t, spot: p.spot}).price() / max(t.Vcpus, 1)
 }
 
 // cheapPools is how many pools cost about as little as the cheapest.
 func (s *Scheduler) cheapPools() int {
-	n := 0
-	for _, t := range s.types {
-		for _, spot := range []bool{true, false} {
-			if s.perCPU(pool{kind: t.Sku, spot: spot}) <= limits.LikePrice*s.lowest {
-				n += len(t.Yards)
+	low, n := math.Inf(1), 0
+	each := func(f func(cost float64)) {
+		for _, t := range s.types {
+			for _, y := range t.Yards {
+				f(s.perCPU(pool{t.Sku, y, true}))
+				f(s.perCPU(pool{t.Sku, y, false}))
 			}
 		}
 	}
+	each(func(cost float64) { low = min(low, cost) })
+	each(func(cost float64) {
+		if cost <= limits.LikePrice*low {
+			n++
+		}
+	})
 	return n
 }
 
@@ -605,15 +606,9 @@
 	return math.MaxInt32
 }
 
-// dear tells whether a machine costs so much more than the cheapest that it is only for what these can't do.
-func (s *Scheduler) dear(m *machine) bool { return perCPU(m) > limits.LikePrice*s.lowest }
-
-func perCPU(m *machine) float64 { return m.price() / max(m.size().cpu, 1) }
-
 // drain picks machines that are not needed to empty and be returned, the dearest and emptiest first: spread thin, the work would keep all of
-// them. Dear ones go as soon as the others could do their work, without the room that is kept free for what comes. It is decided anew with every plan, so a burst
-// brings them back at once. It returns the CPUs of the dear machines there are.
-func (s *Scheduler) drain() (dear float64) {
+// them. It is decided anew with every plan, so a burst brings them back at once.
+func (s *Scheduler) drain() {
 	var total, used, waiting float64
 	var ms []*machine
 	for _, m := range s.fleet {
@@ -625,18 +620,13 @@
 		used += m.used.cpu
 		ms = append(ms, m)
 	}
-	anywhere := true // all work could be done by any machine
 	for _, j := range s.queue {
 		if !j.cancelled {
 			waiting += float64(j.free()) * j.need.cpu
-			anywhere = anywhere && j.spec.Lendable && j.spec.Yard == "" && len(j.spec.Rigkinds) == 0 && !j.spec.Together && !j.spec.Scatter
 		}
 	}
 	surplus := total - (used+waiting)*(1+s.cfg.Options.Fleet.Headroom)
-	spare := surplus
-	if anywhere {
-		spare = total - (used+waiting)*(1+min(limits.DearHeadroom, s.cfg.Options.Fleet.Headroom))
-	}
+	perCPU := func(m *machine) float64 { return m.price() / max(m.size().cpu, 1) }
 	sort.SliceStable(ms, func(a, b int) bool {
 		x, y := ms[a], ms[b]
 		if px, py := perCPU(x), perCPU(y); px != py {
@@ -645,20 +635,11 @@
 		return x.used.cpu/max(x.size().cpu, 1) < y.used.cpu/max(y.size().cpu, 1)
 	})
 	for _, m := range ms {
-		bound := surplus
-		if anywhere && s.dear(m) {
-			bound = spare
-			if dear += m.size().cpu; m.wanted && len(m.binds) == 0 {
-				continue // the plan counts on it for what finds no room elsewhere
-			}
-		}
-		if free := m.freeRoom().cpu; (free > 0 || bound > surplus) && m.size().cpu <= bound && s.now > m.created+limits.DrainAge {
+		if free := m.freeRoom().cpu; free > 0 && m.size().cpu <= surplus && s.now > m.created+limits.DrainAge {
 			m.drain = true
 			surplus -= m.size().cpu
-			spare -= m.size().cpu
 		}
 	}
-	return dear
 }
 
 // pendingOffers are the machines of rentals that are under way.
--- a/internal/coordination/scheduler/model.go
+++ b/internal/coordination/scheduler/model.go
@@ -343,7 +343,6 @@
 	machines map[string]*machine
 	fleet    []*machine // by name
 	types    map[string]*protocol.Rigkind
-	lowest   float64  // price of a CPU where it costs least
 	kinds    []string // names of types, sorted
 	hires    map[string]*hire
 	pools    map[pool]*poolState
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -840,34 +840,3 @@
 		t.Error("not placed where there is room")
 	}
 }
-
-// TestDearGoFirst: once cheap machines could do the work of dear ones, the dear ones are emptied and returned, and idle cheap ones are kept until then; but not
-// while there is work that only they may do.
-func TestDearGoFirst(t *testing.T) {
-	for _, lendable := range []bool{true, false} {
-		b := newBed(t, 0)
-		b.step(TypesDone{OK: true, Types: []protocol.Rigkind{{Sku: "s8", Vcpus: 8, RamGb: 32, PullGbPerS: 1, Price: 4, MarketPrice: 1, StartupS: 5, Yards: []string{"a"}}}})
-		loadUp(b.s, "h-dear", storage.Hire{Rigkind: "s8", Yard: "a", Number: 1, Answered: true, Rigs: []string{b.rig(0)}}, b.now)
-		loadUp(b.s, "h-cheap", storage.Hire{Rigkind: "s8", Yard: "a", Lendable: true, Number: 1, Answered: true, Rigs: []string{b.rig(1)}}, b.now)
-		b.report(0)
-		b.report(1)
-		b.job("job-1", "red", "high", 2, 3, 0) // they are bound to the dear machine as if the cheap one had been full
-		j := b.s.jobs["job-1"]
-		j.spec.Lendable = lendable
-		for _, x := range j.sortedBound() {
-			b.s.unbind(x)
-		}
-		dear, cheap := b.s.machines[b.rig(0)], b.s.machines[b.rig(1)]
-		cheap.spot = true // the bed's reports don't say so
-		for i := range 2 {
-			b.s.bind(j, i, dear, uint64(i+1), running)
-		}
-		b.now += 2 * limits.LeastCharge
-		dear.heard, cheap.heard, dear.leaseBase, cheap.leaseBase = b.now, b.now, b.now, b.now
-		b.s.planAt = 0
-		b.step(Tick{Entitled: true})
-		if dear.drain != lendable || cheap.deleting == lendable {
-			t.Errorf("work for any machine: %v; dear one emptied: %v, idle cheap one returned: %v", lendable, dear.drain, cheap.deleting)
-		}
-	}
-}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -308,8 +308,6 @@
 	DrainReturn = 3 * time.Second
 	// DrainHeadroom is the share of the work at hand that is kept free for what comes before machines are emptied.
 	DrainHeadroom = 0.4
-	// DearHeadroom is the same for machines that cost more than LikePrice times as much as the cheapest.
-	DearHeadroom = 0.1
 	// PlanHorizon is the longest that a job is planned to wait for room, however much time it has.
 	PlanHorizon = 15 * time.Second
 	// SlackShare is the share of a job's slack that it is planned to wait; the rest is for what goes wrong.
