--- /dev/null
+++ b/internal/coordination/scheduler/plan.go
@@ -0,0 +1,384 @@
+package scheduler
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"quillshunt/internal/limits"
+	"quillshunt/internal/protocol"
+)
+
+// offer is room in time that the plan may use: of a machine that is up, is booting, or would be rented.
+type offer struct {
+	m     *machine
+	p     pool
+	typ   *protocol.Rigkind
+	ready float64 // seconds until it can start a task
+	used  float64 // CPUs in use or promised, also by tasks that start one after the other
+	load  float64 // CPU seconds that these still take
+}
+
+// plan compares the backlog with what the fleet can work off in time, rents what is missing and returns what is idle.
+func (s *Scheduler) plan() {
+	var offers []*offer
+	total := 0
+	clear(s.inZone)
+	for _, m := range s.fleet {
+		total++
+		m.wanted = false
+		if !m.deleting {
+			s.inZone[m.yard]++
+		}
+		if m.typ == nil || m.deleting || m.notice || m.sick() {
+			continue
+		}
+		o := &offer{m: m, p: pool{m.kind, m.yard, m.spot}, typ: m.typ}
+		if !m.seen {
+			age := (s.now - m.created).Seconds()
+			if o.ready = m.typ.StartupS*limits.BootReckon - age; o.ready < 0 {
+				if age > limits.BootHope*m.typ.StartupS {
+					continue // it may never come up; plan without it
+				}
+				o.ready = 2
+			}
+		} else if s.now > m.heard+2*s.stale() || (!m.proven && s.now > m.doubt+2*s.stale()) {
+			continue
+		}
+		for _, b := range m.binds {
+			left := b.j.occupies()
+			if b.phase == running {
+				left = b.j.estimate()
+				left = max(left-(s.now-b.runAt).Seconds(), limits.LeastLeft*left)
+			}
+			o.used += b.j.need.cpu
+			o.load += left * b.j.need.cpu
+		}
+		offers = append(offers, o)
+	}
+	calls := max(1, int(s.cfg.CloudRPS*limits.PlanEvery.Seconds())) // rental requests that the cloud takes until the next plan
+	asked := map[pool]int{}
+	for _, h := range s.hires {
+		if h.pending() {
+			total += h.rec.Number
+			calls--
+			asked[pool{h.rec.Rigkind, h.rec.Yard, h.rec.Lendable}]++
+		}
+	}
+	// may is how many machines a pool may be asked for now. What is left of a pool is not known, and each refusal costs a call of the cloud's rate: pools of like
+	// price share the calls, and one that refused lately is tried with one.
+	each := max(limits.PoolRequests, calls/max(s.cheapPools(), 1))
+	may := func(p pool) int {
+		most := each
+		if st := s.pools[p]; st != nil && st.backoff > 0 {
+			most = 1
+		}
+		return max(most-asked[p], 0) * limits.HireMax
+	}
+	offers = append(offers, s.pendingOffers()...)
+	fresh := map[pool]float64{}
+	for _, j := range s.claims() {
+		if s.now < j.resume {
+			continue
+		}
+		s.planJob(j, fresh, may, &offers)
+	}
+	pools := make([]pool, 0, len(fresh))
+	for p := range fresh {
+		pools = append(pools, p)
+	}
+	slices.SortFunc(pools, func(a, b pool) int { // the cheapest first, as the calls may not do for all
+		return cmp.Or(cmp.Compare(s.perCPU(a), s.perCPU(b)), strings.Compare(a.kind, b.kind), strings.Compare(a.yard, b.yard))
+	})
+	for _, p := range pools {
+		n := int(math.Floor(fresh[p] + 1 - limits.HireFraction))
+		if n == 0 && total == 0 {
+			n = 1
+		}
+		if n > s.fleetMax()-total && s.now >= s.boundAt {
+			s.boundAt = s.now + limits.SummaryEvery
+			s.note(true, "fleet at its bound", "machines", total, "wanted", n)
+		}
+		for n = min(n, s.fleetMax()-total); n > 0 && calls > 0; n -= limits.HireMax {
+			total += min(n, limits.HireMax)
+			calls--
+			s.hireMachines(p, n)
+		}
+	}
+	s.drain()
+	for _, m := range s.fleet {
+		if !s.settled || m.deleting || !m.seen || m.wanted || len(m.binds) > 0 || m.hire == "" {
+			continue
+		}
+		if !s.durable(m) {
+			s.hurry(m)
+			continue
+		}
+		if s.now > m.heard+s.stale() {
+			continue // silent, not idle: when a cut leader hears its machines again, they are still good
+		}
+		idle := time.Duration(s.cfg.Options.Fleet.IdleReturn)
+		if m.drain {
+			idle = limits.DrainReturn
+		}
+		if s.now > m.idleSince+idle && s.now > m.created+limits.LeastCharge {
+			s.remove(m, "idle")
+		}
+	}
+}
+
+// perCPU is what a CPU of a pool costs an hour.
+func (s *Scheduler) perCPU(p pool) float64 {
+	t := s.types[p.kind]
+	return (&machine{typ: t, spot: p.spot}).price() / max(t.Vcpus, 1)
+}
+
+// cheapPools is how many pools cost about as little as the cheapest.
+func (s *Scheduler) cheapPools() int {
+	low, n := math.Inf(1), 0
+	each := func(f func(cost float64)) {
+		for _, t := range s.types {
+			for _, y := range t.Yards {
+				f(s.perCPU(pool{t.Sku, y, true}))
+				f(s.perCPU(pool{t.Sku, y, false}))
+			}
+		}
+	}
+	each(func(cost float64) { low = min(low, cost) })
+	each(func(cost float64) {
+		if cost <= limits.LikePrice*low {
+			n++
+		}
+	})
+	return n
+}
+
+// fleetMax is how many machines may be rented at once.
+func (s *Scheduler) fleetMax() int {
+	if n := s.cfg.Options.Fleet.MaxMachines; n > 0 {
+		return n
+	}
+	return math.MaxInt32
+}
+
+// drain picks machines that are not needed to empty and be returned, the dearest and emptiest first: spread thin, the work would keep all of
+// them. It is decided anew with every plan, so a burst brings them back at once.
+func (s *Scheduler) drain() {
+	var total, used, waiting float64
+	var ms []*machine
+	for _, m := range s.fleet {
+		m.drain = false
+		if !s.usable(m) {
+			continue
+		}
+		total += m.size().cpu
+		used += m.used.cpu
+		ms = append(ms, m)
+	}
+	for _, j := range s.queue {
+		if !j.cancelled {
+			waiting += float64(j.free()) * j.need.cpu
+		}
+	}
+	surplus := total - (used+waiting)*(1+s.cfg.Options.Fleet.Headroom)
+	perCPU := func(m *machine) float64 { return m.price() / max(m.size().cpu, 1) }
+	sort.SliceStable(ms, func(a, b int) bool {
+		x, y := ms[a], ms[b]
+		if px, py := perCPU(x), perCPU(y); px != py {
+			return px > py
+		}
+		return x.used.cpu/max(x.size().cpu, 1) < y.used.cpu/max(y.size().cpu, 1)
+	})
+	for _, m := range ms {
+		if free := m.freeRoom().cpu; free > 0 && m.size().cpu <= surplus && s.now > m.created+limits.DrainAge {
+			m.drain = true
+			surplus -= m.size().cpu
+		}
+	}
+}
+
+// pendingOffers are the machines of rentals that are under way.
+func (s *Scheduler) pendingOffers() []*offer {
+	var out []*offer
+	for _, h := range s.sortedHires() {
+		t := s.types[h.rec.Rigkind]
+		if t == nil || !h.pending() {
+			continue
+		}
+		for range h.rec.Number {
+			out = append(out, &offer{p: pool{h.rec.Rigkind, h.rec.Yard, h.rec.Lendable}, typ: t, ready: t.StartupS * limits.BootReckon})
+		}
+	}
+	return out
+}
+
+// patience is how long a job's tasks are planned to wait for room: a share of what it can wait.
+func (s *Scheduler) patience(j *job) float64 {
+	wait := time.Duration(s.cfg.Options.Fleet.LongestWait).Seconds()
+	if slack, late := s.slack(j); !late && slack != never {
+		wait = min(wait, max(slack.Seconds(), 0)*s.cfg.Options.Fleet.SlackShare)
+	}
+	return wait
+}
+
+// soonest is how long the quickest machine that the job may use takes until it is up.
+func (s *Scheduler) soonest(j *job) float64 {
+	least := math.Inf(1)
+	for _, t := range s.types {
+		if sizeOf(t).holds(j.need) && (len(j.spec.Rigkinds) == 0 || slices.Contains(j.spec.Rigkinds, t.Sku)) {
+			least = min(least, t.StartupS*limits.BootReckon)
+		}
+	}
+	return least
+}
+
+// planJob promises a job's waiting tasks to offers that can start them in time, and adds machines to rent for what is left.
+func (s *Scheduler) planJob(j *job, fresh map[pool]float64, may func(pool) int, all *[]*offer) {
+	est, n := j.occupies(), j.free()
+	// What the team's limit keeps out needs no machine now.
+	if j.need.cpu > 0 {
+		n = min(n, int((j.team.cfg.CPUsMax-j.team.used.cpu)/j.need.cpu+limits.Epsilon))
+	}
+	if n <= 0 {
+		return
+	}
+	open := func(p pool) bool { return fresh[p] < float64(may(p)) }
+	// What starts before a new machine can be up needs none. What has waited as long already can't wait as long again, or a queue that is always as long
+	// would never be worked off.
+	within := max(max(s.patience(j), s.soonest(j))-(s.now-j.at).Seconds(), 0)
+	var p pool
+	var t *protocol.Rigkind
+	carry := 0.0
+	for _, o := range *all {
+		if n == 0 {
+			return
+		}
+		size := sizeOf(o.typ)
+		if !size.holds(j.need) || !s.allows(j, o.p.kind, o.p.yard, o.p.spot) || (o.m != nil && j.avoids(o.m)) {
+			continue
+		}
+		n -= o.take(j, n, est, within, &carry)
+	}
+	for n > 0 {
+		if t == nil || !open(p) {
+			if p, t = s.cheapestPool(j, open); t == nil {
+				return
+			}
+		}
+		o := &offer{p: p, typ: t, ready: t.StartupS * limits.BootReckon}
+		got := o.take(j, n, est, 0, new(float64))
+		if got == 0 {
+			return
+		}
+		s.inZone[p.yard]++
+		whole := slots(sizeOf(t), j.need)
+		fresh[p] += float64(got) / float64(whole)
+		if got < whole {
+			// The rest of this machine stays open for the jobs behind.
+			*all = append(*all, o)
+		}
+		n -= got
+		if fresh[p] > float64(s.fleetMax()) {
+			return
+		}
+	}
+}
+
+// take promises up to n tasks to the offer and returns how many it takes: those that can start within a time, or as soon as it is ready. Of what is in
+// use, a part will be free by then, as tasks end one after the other. The fraction of a task that is left over is carried to the next offer.
+func (o *offer) take(j *job, n int, est, within float64, carry *float64) int {
+	size := sizeOf(o.typ)
+	per := slots(size, j.need)
+	if per == 0 {
+		return 0
+	}
+	cpu := j.need.cpu
+	if cpu <= 0 {
+		cpu = size.cpu / float64(per)
+	}
+	room := size.cpu - o.used
+	if w := within - o.ready; w > 0 && o.load > 0 {
+		room += o.used * min(1, w*o.used/(2*o.load))
+	}
+	want := min(max(room/cpu, 0), float64(per)) + *carry
+	k := min(n, int(want+limits.Epsilon), per)
+	*carry = min(want-float64(k), 1)
+	if k <= 0 {
+		return 0
+	}
+	o.used += float64(k) * cpu
+	o.load += float64(k) * cpu * est
+	if o.m != nil {
+		o.m.wanted = true
+	}
+	return k
+}
+
+// slots is how many tasks fit at once.
+func slots(size, need room) int {
+	n := math.Inf(1)
+	if need.cpu > 0 {
+		n = min(n, size.cpu/need.cpu)
+	}
+	if need.gpu > 0 {
+		n = min(n, size.gpu/need.gpu)
+	}
+	if need.ram > 0 {
+		n = min(n, size.ram/need.ram)
+	}
+	return int(min(n+limits.Epsilon, limits.MaxTasks))
+}
+
+// cheapestPool is where a machine for the job costs least for each task it holds, among the pools that are not known to be empty. A pool that has only been
+// asked for as much as may be now is left for a dearer one of like price, else it is asked again with the next plan.
+func (s *Scheduler) cheapestPool(j *job, open func(pool) bool) (pool, *protocol.Rigkind) {
+	var best pool
+	var typ *protocol.Rigkind
+	low, floor, busy := math.Inf(1), math.Inf(1), math.Inf(1)
+	for _, k := range s.kinds {
+		t := s.types[k]
+		size := sizeOf(t)
+		per := slots(size, j.need)
+		if per == 0 {
+			continue
+		}
+		for _, y := range t.Yards {
+			for _, spot := range []bool{true, false} {
+				p := pool{k, y, spot}
+				if !s.allows(j, k, y, spot) {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.MarketPrice
+				}
+				// Spread over zones where all else is equal.
+				cost := price / float64(per) * (1 + limits.ZoneSpread*float64(s.inZone[y]))
+				floor = min(floor, cost)
+				st := s.pools[p]
+				if st != nil && s.now < st.until {
+					continue
+				}
+				if !open(p) {
+					if st == nil || st.backoff == 0 {
+						busy = min(busy, cost)
+					}
+					continue
+				}
+				if cost < low {
+					low, best, typ = cost, p, t
+				}
+			}
+		}
+	}
+	if typ == nil || low > limits.LikePrice*busy {
+		return best, nil
+	}
+	if slack, late := s.slack(j); low > s.cfg.Options.Fleet.DearRatio*floor && (late || slack > time.Duration(s.cfg.Options.Fleet.DearSlack)) {
+		return best, nil // it can wait for cheaper ones
+	}
+	return best, typ
+}
