--- a/internal/coordination/scheduler/world_test.go
+++ b/internal/coordination/scheduler/world_test.go
@@ -755,23 +755,48 @@
 	if len(names) == 0 {
 		return
 	}
-	g := w.rigs[names[w.r.IntN(len(names))]]
-	switch w.r.IntN(6) {
-	case 0:
-		g.hungTill = w.now + w.between(time.Second, 40*time.Second)
-	case 1:
-		g.cutTill = w.now + w.between(time.Second, 30*time.Second)
-	case 2:
-		g.never, g.bootAt = true, time.Hour*10 // dies and stays listed
-		g.tasks = nil
-	case 3:
-		if g.Lendable {
-			g.warn = w.now + w.between(time.Second, 15*time.Second)
+	struck := []*rig{w.rigs[names[w.r.IntN(len(names))]]}
+	switch w.r.IntN(8) {
+	case 0: // a zone
+		yard := struck[0].Yard
+		struck = nil
+		for _, n := range names {
+			if w.rigs[n].Yard == yard {
+				struck = append(struck, w.rigs[n])
+			}
 		}
-	case 4:
-		g.gone, g.tasks = true, nil
-	case 5:
-		g.deafTill = w.now + w.between(time.Second, 60*time.Second)
+	case 1: // a fifth of the fleet
+		struck = nil
+		for _, n := range names {
+			if w.chance(0.2) {
+				struck = append(struck, w.rigs[n])
+			}
+		}
+	}
+	kind := w.r.IntN(6)
+	long := func(most time.Duration) time.Duration { return w.now + w.between(time.Second, most) }
+	hung, cut, warned, deaf := long(40*time.Second), long(30*time.Second), long(15*time.Second), long(60*time.Second)
+	for _, g := range struck {
+		switch kind {
+		case 0:
+			g.hungTill = hung
+		case 1:
+			g.cutTill = cut
+		case 2:
+			g.never, g.bootAt = true, time.Hour*10 // dies and stays listed
+			g.tasks = nil
+		case 3:
+			if g.Lendable {
+				g.warn = warned
+			}
+		case 4:
+			g.gone, g.tasks = true, nil
+		case 5:
+			g.deafTill = deaf
+		}
+	}
+	if len(struck) > 1 && w.chance(0.3) { // and all controllers in the same seconds
+		w.takeOver()
 	}
 }
 
