--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -255,39 +255,37 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	_, err = t.d.store.List(ctx, storage.PrefixFin, func(p protocol.Pair) error {
-		var f storage.Fin
-		if err := protocol.Decode(p.Data, &f); err != nil {
-			return fmt.Errorf("%s: %w", p.Path, err)
-		}
+	err = listRecords(ctx, t.d.store, storage.PrefixFin, func(p protocol.Pair, f storage.Fin) {
 		if id, _, ok := storage.ParseFinKey(p.Path); ok {
 			evs = append(evs, scheduler.FinLoaded{ID: id, Stamp: p.Stamp, Rec: f})
 		}
-		return nil
 	})
 	if err != nil {
 		return 0, nil, err
 	}
-	_, err = t.d.store.List(ctx, storage.PrefixHire, func(p protocol.Pair) error {
-		var h storage.Hire
-		if err := protocol.Decode(p.Data, &h); err != nil {
-			return fmt.Errorf("%s: %w", p.Path, err)
-		}
+	err = listRecords(ctx, t.d.store, storage.PrefixHire, func(p protocol.Pair, h storage.Hire) {
 		evs = append(evs, scheduler.HireLoaded{Name: strings.TrimPrefix(p.Path, storage.PrefixHire), Stamp: p.Stamp, Rec: h})
-		return nil
 	})
 	if err != nil {
 		return 0, nil, err
 	}
-	_, err = t.d.store.List(ctx, storage.PrefixUp, func(p protocol.Pair) error {
-		var u storage.Ups
-		if err := protocol.Decode(p.Data, &u); err != nil {
+	err = listRecords(ctx, t.d.store, storage.PrefixUp, func(p protocol.Pair, u storage.Ups) {
+		evs = append(evs, scheduler.UpLoaded{Name: strings.TrimPrefix(p.Path, storage.PrefixUp), Stamp: p.Stamp, Rec: u})
+	})
+	return ledger, evs, err
+}
+
+// listRecords reads all records of one kind.
+func listRecords[T any](ctx context.Context, store *storage.Store, prefix string, each func(protocol.Pair, T)) error {
+	_, err := store.List(ctx, prefix, func(p protocol.Pair) error {
+		var rec T
+		if err := protocol.Decode(p.Data, &rec); err != nil {
 			return fmt.Errorf("%s: %w", p.Path, err)
 		}
-		evs = append(evs, scheduler.UpLoaded{Name: strings.TrimPrefix(p.Path, storage.PrefixUp), Stamp: p.Stamp, Rec: u})
+		each(p, rec)
 		return nil
 	})
-	return ledger, evs, err
+	return err
 }
 
 func (t *term) readOpen(ctx context.Context) (uint64, []scheduler.Event, error) {
--- a/internal/coordination/scheduler/marks.go
+++ b/internal/coordination/scheduler/marks.go
@@ -111,7 +111,6 @@
 		return
 	}
 	if x.stamp != 0 {
-		x.writing = true
 		key := storage.UpKey(x.name)
 		s.write(pendingWrite{kind: writeUpsRemove, sheet: x}, []protocol.Guard{{Path: key, Stamp: x.stamp}}, []protocol.Op{{Remove: key}})
 	}
--- a/internal/coordination/scheduler/model.go
+++ b/internal/coordination/scheduler/model.go
@@ -273,10 +273,18 @@
 	if m.typ == nil {
 		return 0
 	}
-	if m.spot {
-		return m.typ.MarketPrice
+	return priceOf(m.typ, m.spot)
+}
+
+// perCPU is the same for each of its CPUs.
+func (m *machine) perCPU() float64 { return m.price() / max(m.size().cpu, 1) }
+
+// priceOf is what a machine of a type costs an hour.
+func priceOf(t *protocol.Rigkind, spot bool) float64 {
+	if spot {
+		return t.MarketPrice
 	}
-	return m.typ.Price
+	return t.Price
 }
 
 type hireState uint8
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -377,14 +377,8 @@
 	if j.spec.Yard != "" && j.spec.Yard != yard {
 		return false
 	}
-	if len(j.spec.Rigkinds) > 0 {
-		ok := false
-		for _, k := range j.spec.Rigkinds {
-			ok = ok || k == kind
-		}
-		if !ok {
-			return false
-		}
+	if !kindAllowed(&j.spec, kind) {
+		return false
 	}
 	if j.spec.Together || j.spec.Scatter {
 		here, total := 0, 0
@@ -451,7 +445,7 @@
 	}
 	left := free.minus(j.need)
 	c.scores[weighPack] = -left.cpu
-	c.scores[weighPrice] = -m.price() / max(m.typ.Vcpus, 1)
+	c.scores[weighPrice] = -m.perCPU()
 	if m.speedN >= 3 {
 		c.scores[weighSpeed] = -math.Round(m.speedSum/float64(m.speedN)/limits.SpeedStep) * limits.SpeedStep
 	} else {
@@ -595,15 +589,17 @@
 	return out
 }
 
+// kindAllowed tells whether a job may use machines of a type.
+func kindAllowed(spec *protocol.Spec, kind string) bool {
+	return len(spec.Rigkinds) == 0 || slices.Contains(spec.Rigkinds, kind)
+}
+
 // kindFits tells whether some allowed type can hold a task of the job.
 func kindFits(spec *protocol.Spec, types []protocol.Rigkind) bool {
 	need := room{spec.Vcpus, spec.Accelerators, spec.RamGb}
 	for i := range types {
 		t := &types[i]
-		ok := len(spec.Rigkinds) == 0
-		for _, k := range spec.Rigkinds {
-			ok = ok || k == t.Sku
-		}
+		ok := kindAllowed(spec, t.Sku)
 		if spec.Yard != "" {
 			in := false
 			for _, y := range t.Yards {
--- a/internal/coordination/scheduler/plan.go
+++ b/internal/coordination/scheduler/plan.go
@@ -133,26 +133,26 @@
 // perCPU is what a CPU of a pool costs an hour.
 func (s *Scheduler) perCPU(p pool) float64 {
 	t := s.types[p.kind]
-	return (&machine{typ: t, spot: p.spot}).price() / max(t.Vcpus, 1)
+	return priceOf(t, p.spot) / max(t.Vcpus, 1)
 }
 
 // cheapPools is how many pools cost about as little as the cheapest.
 func (s *Scheduler) cheapPools() int {
 	low, n := math.Inf(1), 0
-	each := func(f func(cost float64)) {
-		for _, t := range s.types {
-			for _, y := range t.Yards {
-				f(s.perCPU(pool{t.Sku, y, true}))
-				f(s.perCPU(pool{t.Sku, y, false}))
-			}
+	var costs []float64
+	for _, t := range s.types {
+		for range t.Yards {
+			costs = append(costs, s.perCPU(pool{kind: t.Sku, spot: true}), s.perCPU(pool{kind: t.Sku}))
 		}
 	}
-	each(func(cost float64) { low = min(low, cost) })
-	each(func(cost float64) {
-		if cost <= limits.LikePrice*low {
+	for _, c := range costs {
+		low = min(low, c)
+	}
+	for _, c := range costs {
+		if c <= limits.LikePrice*low {
 			n++
 		}
-	})
+	}
 	return n
 }
 
@@ -184,10 +184,9 @@
 		}
 	}
 	surplus := total - (used+waiting)*(1+s.cfg.Options.Fleet.Headroom)
-	perCPU := func(m *machine) float64 { return m.price() / max(m.size().cpu, 1) }
 	sort.SliceStable(ms, func(a, b int) bool {
 		x, y := ms[a], ms[b]
-		if px, py := perCPU(x), perCPU(y); px != py {
+		if px, py := x.perCPU(), y.perCPU(); px != py {
 			return px > py
 		}
 		return x.used.cpu/max(x.size().cpu, 1) < y.used.cpu/max(y.size().cpu, 1)
@@ -228,7 +227,7 @@
 func (s *Scheduler) soonest(j *job) float64 {
 	least := math.Inf(1)
 	for _, t := range s.types {
-		if sizeOf(t).holds(j.need) && (len(j.spec.Rigkinds) == 0 || slices.Contains(j.spec.Rigkinds, t.Sku)) {
+		if sizeOf(t).holds(j.need) && kindAllowed(&j.spec, t.Sku) {
 			least = min(least, t.StartupS*limits.BootReckon)
 		}
 	}
@@ -351,12 +350,8 @@
 				if !s.allows(j, k, y, spot) {
 					continue
 				}
-				price := t.Price
-				if spot {
-					price = t.MarketPrice
-				}
 				// Spread over zones where all else is equal.
-				cost := price / float64(per) * (1 + limits.ZoneSpread*float64(s.inZone[y]))
+				cost := priceOf(t, spot) / float64(per) * (1 + limits.ZoneSpread*float64(s.inZone[y]))
 				floor = min(floor, cost)
 				st := s.pools[p]
 				if st != nil && s.now < st.until {
