A cancellation is told only once it binds whoever may lead

Now a cancellation, a poll or a repeated submission says "aborted" only once an entitled leader has said over gRPC that it knows (directly or through another controller), or its beat covers the record, or there is no leader key; else 503 with Retry-After. The time allowed counts from the record's own time of day and survives a take-over; a machine that still has the task is deleted at 0.6 of the time in which its lease can still be let run out, and past that gets no more answers.

TestUnconfirmed and TestCancelledInTime fail without it; each part was taken out by hand.

TestUsersAPI asked about a cancelled job to see what an outage does to a job that is not over. A confirmed cancellation is now known for good and answered in an outage, so it asks about an open one, and TestUnconfirmed checks the cancelled one's answers in an outage.

--- a/internal/coordination/election/election.go
+++ b/internal/coordination/election/election.go
@@ -36,6 +36,7 @@
 	until atomic.Int64 // nanoseconds after start, by the hold
 	vowed atomic.Int64 // the same, by pledges and beats
 	ended atomic.Bool  // given up; whatever a late touch says
+	seen  atomic.Uint64
 }
 
 // NewMandate returns a mandate that is entitled until the given time.
@@ -62,6 +63,9 @@
 	return !m.ended.Load() && int64(time.Since(m.start)) < min(m.until.Load(), m.vowed.Load())
 }
 
+// Saw notes that the term has taken in all changes of open jobs up to a revision; the next beat says so.
+func (m *Mandate) Saw(rev uint64) { m.seen.Store(rev) }
+
 // Guard makes a write fail once there is another leader.
 func (m *Mandate) Guard() protocol.Guard {
 	return protocol.Guard{Path: storage.KeyLeader, Stamp: m.Stamp}
--- a/internal/coordination/election/pledge.go
+++ b/internal/coordination/election/pledge.go
@@ -106,7 +106,7 @@
 			seq++
 			rev, err := e.Store.Txn(ctx, protocol.Txn{
 				Guards: []protocol.Guard{m.Guard(), {Path: storage.KeyBeat, Stamp: beat}},
-				Apply:  []protocol.Op{{Write: storage.KeyBeat, Data: protocol.Encode(storage.Beat{Term: m.Term, Seq: seq})}},
+				Apply:  []protocol.Op{{Write: storage.KeyBeat, Data: protocol.Encode(storage.Beat{Term: m.Term, Seq: seq, Seen: m.seen.Load()})}},
 			})
 			var conflict *storage.Conflict
 			switch {
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -273,6 +273,9 @@
 	if err != nil {
 		return 400, problem{Error: err.Error()}
 	}
+	if st, over := g.over(spec.NameId); over {
+		return 200, st
+	}
 	types := g.types.Load()
 	if types == nil {
 		return g.away(errors.New("machine types not known yet"))
@@ -332,14 +335,19 @@
 	return "unknown team"
 }
 
+// over tells what became of a job, if that is known here to be so for good.
+func (g *Gateway) over(id string) (protocol.JobStatus, bool) {
+	f, ok := g.finals.get(id)
+	return protocol.JobStatus{NameId: id, Standing: f}, ok
+}
+
 // standing reads a job's state. It looks at the open record first and then at the final one; as a job moves from the one to the other in one
 // transaction, it is never missed.
 func (g *Gateway) standing(ctx context.Context, id string) (protocol.JobStatus, bool, error) {
-	st := protocol.JobStatus{NameId: id}
-	if f, ok := g.finals.get(id); ok {
-		st.Standing = f
+	if st, over := g.over(id); over {
 		return st, true, nil
 	}
+	st := protocol.JobStatus{NameId: id}
 	p, err := g.Store.Get(ctx, storage.OpenKey(id))
 	if err != nil {
 		return st, false, fmt.Errorf("read %s: %w", id, err)
@@ -351,6 +359,10 @@
 		}
 		st.Standing = protocol.Pending
 		if o.Cancelled {
+			// "aborted" is a confirmation, also to a poll. "pending" may be an older answer than another controller's.
+			if !g.confirm(ctx, id, p) {
+				return st, false, errUnconfirmed
+			}
 			st.Standing = protocol.Aborted
 		}
 		return st, true, nil
@@ -401,11 +413,43 @@
 	return g.Peers.Counts(ctx, g.Leader(), id)
 }
 
-// cancel marks a job as cancelled. The leader hears of it through its watch.
+var errUnconfirmed = errors.New("cancellation not confirmed yet")
+
+// confirm tells whether a cancellation that is in the state service binds whoever may lead, so that the user may be told. The leader's own watch
+// does not see to that: if the state service refuses the leader alone and then everybody, it goes on by pledges and hears nothing of the
+// cancellation until cancel_s is long over. So one of these must hold, after the record was there:
+//   - the leader says that it knows, and was entitled then. No other was, and later ones read the record;
+//   - the leader has written a beat that covers the record. Such a write succeeds only while no later term has begun;
+//   - there is no leader key. Its hold is over, so no leader is entitled, and the next one reads the record.
+func (g *Gateway) confirm(ctx context.Context, id string, p protocol.Pair) bool {
+	known := g.Desk.Confirm(ctx, id, p.Stamp, p.Data) || g.Peers.Confirm(ctx, g.Leader(), id, p.Stamp, p.Data) || g.covered(ctx, p.Stamp)
+	if known {
+		g.finals.put(id, protocol.Aborted) // it stays so, whatever leader comes
+	}
+	return known
+}
+
+func (g *Gateway) covered(ctx context.Context, stamp uint64) bool {
+	p, err := g.Store.Get(ctx, storage.KeyBeat)
+	if err != nil {
+		return false
+	}
+	var beat storage.Beat
+	if p.Stamp != 0 && protocol.Decode(p.Data, &beat) == nil && beat.Seen >= stamp {
+		return true
+	}
+	p, err = g.Store.Get(ctx, storage.KeyLeader)
+	return err == nil && p.Stamp == 0
+}
+
+// cancel marks a job as cancelled, and has the leader know of it before the user does.
 func (g *Gateway) cancel(ctx context.Context, id string) (int, any) {
 	if !protocol.ValidJobID(id) {
 		return 404, problem{Error: "no such job"}
 	}
+	if st, over := g.over(id); over {
+		return 200, st
+	}
 	for {
 		p, err := g.Store.Get(ctx, storage.OpenKey(id))
 		if err != nil {
@@ -428,14 +472,21 @@
 			return g.away(err)
 		}
 		if o.Cancelled {
+			if !g.confirm(ctx, id, p) {
+				return g.away(errUnconfirmed)
+			}
 			return 200, protocol.JobStatus{NameId: id, Standing: protocol.Aborted}
 		}
-		o.Cancelled = true
-		_, err = g.Store.Txn(ctx, protocol.Txn{
+		o.Cancelled, o.CancelMs = true, time.Now().UnixMilli()
+		data := protocol.Encode(o)
+		rev, err := g.Store.Txn(ctx, protocol.Txn{
 			Guards: []protocol.Guard{{Path: storage.OpenKey(id), Stamp: p.Stamp}},
-			Apply:  []protocol.Op{{Write: storage.OpenKey(id), Data: protocol.Encode(o)}},
+			Apply:  []protocol.Op{{Write: storage.OpenKey(id), Data: data}},
 		})
 		if err == nil {
+			if !g.confirm(ctx, id, protocol.Pair{Stamp: rev, Data: data}) {
+				return g.away(errUnconfirmed)
+			}
 			return 200, protocol.JobStatus{NameId: id, Standing: protocol.Aborted}
 		}
 		var conflict *storage.Conflict
--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -167,16 +167,23 @@
 	}
 
 	// Without the state service nobody is told anything but when to come back; final states are known for good.
+	if status, _, _ := f.do("POST", "/v2/runs", run("job-4", nil)); status != 201 {
+		t.Errorf("submitted: %d", status)
+	}
 	f.state.SetDown(true)
-	if status, _, m := f.do("GET", "/v2/runs/job-1", nil); status != 503 || m.RetryAfter == 0 {
+	if status, _, m := f.do("GET", "/v2/runs/job-4", nil); status != 503 || m.RetryAfter == 0 {
 		t.Errorf("in an outage: %d, retry after %d", status, m.RetryAfter)
 	}
+	// A cancellation that was confirmed here is as final.
+	if status, standing, _ := f.do("GET", "/v2/runs/job-1", nil); status != 200 || standing != protocol.Aborted {
+		t.Errorf("cancelled job in an outage: %d %q", status, standing)
+	}
 	if status, standing, _ := f.do("GET", "/v2/runs/job-2", nil); status != 200 || standing != protocol.Done {
 		t.Errorf("done job in an outage: %d %q", status, standing)
 	}
 	// What can't be taken is answered at once, not held until the user has no time left to ask again.
 	began := time.Now()
-	for _, target := range []string{"/v2/runs", "/v2/runs/job-1/cancel"} {
+	for _, target := range []string{"/v2/runs", "/v2/runs/job-4/cancel"} {
 		if status, _, m := f.do("POST", target, run("job-3", nil)); status != 503 || m.RetryAfter == 0 {
 			t.Errorf("%s in an outage: %d, retry after %d", target, status, m.RetryAfter)
 		}
@@ -190,6 +197,47 @@
 	}
 }
 
+// TestUnconfirmed: nobody is told that a job is cancelled while a leader may be entitled that does not know: not by the cancellation, nor by a poll or a
+// repeated submission. It is told once the leader's beat covers the record, or there is no leader.
+func TestUnconfirmed(t *testing.T) {
+	for _, how := range []string{"beat", "no leader"} {
+		f := newFront(t)
+		hold := f.state.CreateHold(time.Hour)
+		f.state.Txn(protocol.Txn{Apply: []protocol.Op{
+			{Write: storage.KeyLeader, Tenure: hold, Data: protocol.Encode(storage.Leader{Node: "rig-9", Term: 1})},
+			{Write: storage.KeyBeat, Data: protocol.Encode(storage.Beat{Term: 1})}}})
+		requests := []struct {
+			method, target string
+			body           any
+		}{{"POST", "/v2/runs/job-1/cancel", nil}, {"GET", "/v2/runs/job-1", nil}, {"POST", "/v2/runs", run("job-1", nil)}, {"POST", "/v2/runs/job-1/cancel", nil}}
+		ask := func(want int, standing string) {
+			t.Helper()
+			for _, q := range requests {
+				if status, got, m := f.do(q.method, q.target, q.body); status != want || got != standing || (want == 503) != (m.RetryAfter > 0) {
+					t.Errorf("%s: %s %s: %d %q, retry after %d", how, q.method, q.target, status, got, m.RetryAfter)
+				}
+			}
+		}
+		if status, _, _ := f.do("POST", "/v2/runs", run("job-1", nil)); status != 201 {
+			t.Fatalf("submitted: %d", status)
+		}
+		ask(503, "")
+		p, _ := f.state.Get(storage.OpenKey("job-1"))
+		beat := storage.Beat{Term: 1, Seq: 1, Seen: p.Stamp - 1}
+		f.state.Txn(protocol.Txn{Apply: []protocol.Op{{Write: storage.KeyBeat, Data: protocol.Encode(beat)}}})
+		ask(503, "")
+		if how == "beat" {
+			beat.Seen = p.Stamp
+			f.state.Txn(protocol.Txn{Apply: []protocol.Op{{Write: storage.KeyBeat, Data: protocol.Encode(beat)}}})
+		} else {
+			f.state.EndHold(hold)
+		}
+		ask(200, protocol.Aborted)
+		f.state.SetDown(true)
+		ask(200, protocol.Aborted) // known for good
+	}
+}
+
 // TestMalformedCostsItsConnection: what cannot be parsed is answered and closed, and others are served on.
 func TestMalformedCostsItsConnection(t *testing.T) {
 	f := newFront(t)
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -71,11 +71,19 @@
 	stayed  bool
 }
 
+// seenMsg comes after all changes of open jobs up to a revision.
+type seenMsg uint64
+
 type countsMsg struct {
 	job   string
 	reply chan scheduler.CountsOut
 }
 
+type confirmMsg struct {
+	seen  scheduler.JobSeen
+	reply chan bool
+}
+
 type inspectMsg struct {
 	job   string
 	reply chan scheduler.Snapshot
@@ -152,6 +160,25 @@
 	return peer.Counts{Done: c.Done, Running: c.Running}, ok && c.Known
 }
 
+// Confirm takes the record of a cancelled job from the controller that is about to tell the user. It tells whether we were entitled after the
+// scheduler had taken it: then no other controller was, and whoever leads later reads it in the state service. Our own watch may be silent
+// long after, when the state service refuses us or everybody.
+func (d *Desk) Confirm(ctx context.Context, job string, stamp uint64, record []byte) bool {
+	t := d.term.Load()
+	if t == nil {
+		return false
+	}
+	seen, err := t.jobSeen(storage.OpenKey(job), record, stamp)
+	if err != nil || !seen.Rec.Cancelled {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, limits.ConfirmTimeout)
+	defer cancel()
+	reply := make(chan bool, 1)
+	known, ok := ask(ctx, t, confirmMsg{seen: seen, reply: reply}, reply)
+	return ok && known
+}
+
 // Inspect returns how the term stands if this process leads, and why a job waits if one is named.
 func (d *Desk) Inspect(ctx context.Context, job string) (*peerpb.StatusReply, bool) {
 	t := d.term.Load()
@@ -241,6 +268,7 @@
 				t.step(ctx, e)
 			}
 			t.step(ctx, scheduler.Loaded{})
+			t.m.Saw(ledger)
 			return ledger, true
 		}
 		t.log.Warn("cannot load jobs", "err", err)
@@ -291,7 +319,7 @@
 func (t *term) readOpen(ctx context.Context) (uint64, []scheduler.Event, error) {
 	var evs []scheduler.Event
 	ledger, err := t.d.store.List(ctx, storage.PrefixOpen, func(p protocol.Pair) error {
-		e, err := jobSeen(p.Path, p.Data, p.Stamp)
+		e, err := t.jobSeen(p.Path, p.Data, p.Stamp)
 		if err != nil {
 			return err
 		}
@@ -301,15 +329,22 @@
 	return ledger, evs, err
 }
 
-func jobSeen(path string, data protocol.Raw, stamp uint64) (scheduler.JobSeen, error) {
+func (t *term) jobSeen(path string, data protocol.Raw, stamp uint64) (scheduler.JobSeen, error) {
 	var o storage.Open
 	if err := protocol.Decode(data, &o); err != nil {
 		return scheduler.JobSeen{}, fmt.Errorf("%s: %w", path, err)
 	}
-	age := time.Duration(time.Now().UnixMilli()-o.AtMs) * time.Millisecond
-	return scheduler.JobSeen{ID: strings.TrimPrefix(path, storage.PrefixOpen), Stamp: stamp, Rec: o, Age: max(age, 0)}, nil
+	e := scheduler.JobSeen{ID: strings.TrimPrefix(path, storage.PrefixOpen), Stamp: stamp, Rec: o, Age: max(age(o.AtMs), 0)}
+	if o.CancelMs != 0 {
+		// The clock that it was noted by and ours may differ by the bound of both.
+		e.CancelAge = max(age(o.CancelMs)+2*limits.Seconds(t.d.settings.Facts.SkewMs/1000), 0)
+	}
+	return e, nil
 }
 
+// age is how long ago a time of day was.
+func age(ms int64) time.Duration { return time.Duration(time.Now().UnixMilli()-ms) * time.Millisecond }
+
 // watch follows the open jobs.
 func (t *term) watch(ctx context.Context, since uint64) {
 	var back storage.Backoff
@@ -326,6 +361,7 @@
 				t.post(ctx, e)
 			}
 			since = ledger
+			t.post(ctx, seenMsg(since))
 			continue
 		case err != nil:
 			t.log.Debug("watch", "err", err)
@@ -340,7 +376,7 @@
 				t.post(ctx, scheduler.JobLeft{ID: strings.TrimPrefix(c.Remove, storage.PrefixOpen), Stamp: c.Stamp})
 				continue
 			}
-			e, err := jobSeen(c.Write, c.Data, c.Stamp)
+			e, err := t.jobSeen(c.Write, c.Data, c.Stamp)
 			if err != nil {
 				t.log.Error("bad job record", "err", err)
 				continue
@@ -348,6 +384,7 @@
 			t.post(ctx, e)
 		}
 		since = max(since, r.Ledger)
+		t.post(ctx, seenMsg(since))
 	}
 }
 
@@ -393,6 +430,11 @@
 				t.step(ctx, scheduler.ReportIn{Report: msg.r, Ref: msg.reply, Entitled: fresh && t.m.Entitled(), Relayed: msg.relayed, Stayed: msg.stayed})
 			case countsMsg:
 				t.step(ctx, scheduler.CountsIn{ID: msg.job, Ref: msg.reply})
+			case confirmMsg:
+				t.step(ctx, msg.seen)
+				msg.reply <- t.m.Entitled()
+			case seenMsg:
+				t.m.Saw(uint64(msg))
 			case inspectMsg:
 				t.step(ctx, scheduler.InspectIn{Job: msg.job, Ref: msg.reply})
 			case scheduler.Event:
--- a/internal/coordination/peer/peer.go
+++ b/internal/coordination/peer/peer.go
@@ -27,6 +27,8 @@
 	Counts(ctx context.Context, job string) (Counts, bool)
 	// Relayed takes a worker's report that came through another controller.
 	Relayed(ctx context.Context, report []byte, stayed bool) (status int, body []byte)
+	// Confirm takes a cancelled job's record, and tells whether the leader of an entitled term here knows of it now.
+	Confirm(ctx context.Context, job string, stamp uint64, record []byte) bool
 	// Inspect tells how the term stands if this process leads.
 	Inspect(ctx context.Context, job string) (*peerpb.StatusReply, bool)
 }
@@ -107,6 +109,15 @@
 	return s.candidate.Pledge(r.GetBeat(), r.GetNonce()), nil
 }
 
+// Confirm implements the service. A controller that does not lead passes the request on once: the sender may not reach the leader itself.
+func (s *Server) Confirm(ctx context.Context, r *peerpb.ConfirmRequest) (*peerpb.ConfirmReply, error) {
+	known := s.local.Confirm(ctx, r.GetJob(), r.GetStamp(), r.GetRecord())
+	if !known && !r.GetPassedOn() {
+		known = s.peers.confirmAt(ctx, s.candidate.Leader(), &peerpb.ConfirmRequest{Job: r.GetJob(), Stamp: r.GetStamp(), Record: r.GetRecord(), PassedOn: true})
+	}
+	return &peerpb.ConfirmReply{Known: known}, nil
+}
+
 // Status implements the operators' service.
 func (s *Server) Status(ctx context.Context, r *peerpb.StatusRequest) (*peerpb.StatusReply, error) {
 	if v, ok := s.local.Inspect(ctx, r.GetJob()); ok {
@@ -250,6 +261,34 @@
 	return out
 }
 
+// Confirm tells whether the leader knows of a cancellation now. It is asked itself, and through the others if it does not answer.
+func (p *Peers) Confirm(ctx context.Context, leader, job string, stamp uint64, record []byte) bool {
+	if p.confirmAt(ctx, leader, &peerpb.ConfirmRequest{Job: job, Stamp: stamp, Record: record, PassedOn: true}) {
+		return true
+	}
+	known := askAll(ctx, p, limits.ConfirmTimeout, func(ctx context.Context, _ string, c peerpb.PeerClient) (bool, error) {
+		r, err := c.Confirm(ctx, &peerpb.ConfirmRequest{Job: job, Stamp: stamp, Record: record})
+		return r.GetKnown(), err
+	})
+	for k := range known {
+		if k {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Peers) confirmAt(ctx context.Context, node string, r *peerpb.ConfirmRequest) bool {
+	conn := p.conns[node]
+	if conn == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, limits.ConfirmTimeout)
+	defer cancel()
+	a, err := peerpb.NewPeerClient(conn).Confirm(ctx, r)
+	return err == nil && a.GetKnown()
+}
+
 // Take tells a controller that the term of a leader key is over.
 func (p *Peers) Take(ctx context.Context, node string, term, stamp uint64) error {
 	conn := p.conns[node]
--- a/internal/coordination/scheduler/events.go
+++ b/internal/coordination/scheduler/events.go
@@ -17,6 +17,8 @@
 	Stamp uint64
 	Rec   storage.Open
 	Age   time.Duration // since its submission
+
+	CancelAge time.Duration // since its user may first have been told that it is cancelled; at least as long as that is ago
 }
 
 // JobLeft is a job whose open record is gone.
--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -413,16 +413,38 @@
 		case m.notice && len(m.binds) == 0 && s.durable(m):
 			s.remove(m, "spot notice")
 		default:
-			for _, b := range m.binds {
-				if b.j.cancelled && s.now > b.j.cancelAt+time.Duration(limits.CancelShare*float64(limits.Seconds(s.cfg.Workers.CancelS))) {
-					s.remove(m, "cancelled task does not stop")
-					break
-				}
+			if s.holdsCancelled(m, s.deleteAt) {
+				s.remove(m, "cancelled task does not stop")
 			}
 		}
 	}
 }
 
+// holdsCancelled tells whether a machine may have a task of a cancelled job although that job's time is over.
+func (s *Scheduler) holdsCancelled(m *machine, over func(*job) time.Duration) bool {
+	for _, b := range m.binds {
+		if b.j.cancelled && b.phase != assigned && s.now > over(b.j) {
+			return true
+		}
+	}
+	return false
+}
+
+// deleteAt is when a machine that still has a task of a cancelled job is deleted: early enough that the cloud has answered by lastAnswer. A leader that has
+// only just learned of it lets the stops arrive first, while there is time.
+func (s *Scheduler) deleteAt(j *job) time.Duration {
+	within := limits.Seconds(s.cfg.Workers.CancelS)
+	early := time.Duration(limits.CancelShare * float64(limits.CancelLast(within, s.lease)))
+	late := time.Duration(limits.CancelLatest * float64(within))
+	return max(j.cancelAt+early, min(j.cancelSeen+limits.CancelGrace, j.cancelAt+late))
+}
+
+// lastAnswer is until when the reports of such a machine are answered. If its deletion is not confirmed by then, nothing but the end of its lease takes the task
+// off it in time, also if it hangs and goes on. Its other tasks are lost with that, as they would be by the deletion.
+func (s *Scheduler) lastAnswer(j *job) time.Duration {
+	return j.cancelAt + limits.CancelLast(limits.Seconds(s.cfg.Workers.CancelS), s.lease)
+}
+
 // probe asks machines that may hold tasks of earlier terms, rather than wait for their reports, and those that may not hear our answers.
 func (s *Scheduler) probe() {
 	for _, m := range s.fleet {
--- a/internal/coordination/scheduler/model.go
+++ b/internal/coordination/scheduler/model.go
@@ -101,21 +101,22 @@
 }
 
 type job struct {
-	id        string
-	spec      protocol.Spec
-	urgency   protocol.Urgency
-	team      *team
-	class     *class
-	need      room
-	stamp     uint64
-	cancelled bool
-	cancelAt  time.Duration
-	at        time.Duration // of its submission
-	dues      []due
-	guar      bool // fits into its team's guarantee together with the team's earlier unfinished jobs
-	owed      bool // its group is served badly; see age
-	over      bool // its final record is written
-	finishing bool
+	id         string
+	spec       protocol.Spec
+	urgency    protocol.Urgency
+	team       *team
+	class      *class
+	need       room
+	stamp      uint64
+	cancelled  bool
+	cancelAt   time.Duration // when its user may first have been told
+	cancelSeen time.Duration // when we learned of it
+	at         time.Duration // of its submission
+	dues       []due
+	guar       bool // fits into its team's guarantee together with the team's earlier unfinished jobs
+	owed       bool // its group is served badly; see age
+	over       bool // its final record is written
+	finishing  bool
 
 	done   []uint64
 	doneN  int
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -25,7 +25,7 @@
 	if m.knows(r, m.reportNo) {
 		// Late or repeated: the worker waits for no answer to it, and its task list is old. But if it is the newest one and has only just been
 		// answered, that may have been a copy that overtook it, and the worker waits for this answer.
-		copied := r.Shift == m.shift && r.Tally == m.reportNo && r.Shift > m.deadShift && s.now < m.heard+limits.StaleReport
+		copied := r.Shift == m.shift && r.Tally == m.reportNo && r.Shift > m.deadShift && s.now < m.heard+limits.StaleReport && !s.holdsCancelled(m, s.lastAnswer)
 		reply := ReplyOut{Ref: e.Ref, OK: copied}
 		if copied {
 			reply.Orders = m.again()
@@ -41,7 +41,7 @@
 	s.prove(m, !m.fenced || (e.Stayed && s.now <= m.heard+s.stale()))
 	s.session(m, r)
 	m.reportNo, m.addr = r.Tally, r.Address
-	m.heard, m.leaseBase = s.now, s.now
+	m.heard = s.now
 	s.markUp(m)
 	if r.WarningS != nil && !m.notice {
 		m.notice = true
@@ -53,6 +53,11 @@
 	if r.Tally > m.tally { // else a direct command's answer has overtaken it
 		orders = s.takeTasks(m, r, 0)
 	}
+	if s.holdsCancelled(m, s.lastAnswer) {
+		s.emit(ReplyOut{Ref: e.Ref})
+		return
+	}
+	m.leaseBase = s.now
 	if m.notice {
 		s.clearForNotice(m)
 	}
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -249,6 +249,70 @@
 	}
 }
 
+// TestCancelledInTime: a machine that reports a cancelled task again and again, whatever it is told, and whose deletion nobody confirms, gets no answer from so
+// early on that its lease ends within cancel_s; and that time goes on across a change of leaders. A machine without such a task is answered all the while.
+func TestCancelledInTime(t *testing.T) {
+	for _, age := range []time.Duration{0, 10 * time.Second, 25 * time.Second, time.Hour} {
+		b := newBed(t, 2)
+		b.report(0)
+		b.report(1)
+		b.job("job-1", "red", "standard", 1, 8, 0)
+		var task protocol.TaskReport
+		for _, d := range b.direct() {
+			task = protocol.TaskReport{Piece: d.Orders[0].Piece, Try: d.Orders[0].Try, Standing: protocol.Running}
+			b.step(DirectDone{ID: d.ID, Rig: d.Rig, Report: &protocol.Report{Rig: d.Rig, Address: "x:1", Rigkind: "s8", Yard: "a", Shift: 1, Tally: b.tally + 1, Baton: 3, Pieces: []protocol.TaskReport{task}}})
+		}
+		held := b.s.jobs["job-1"].bound[0].m.name
+		b.tally++
+		b.step(JobSeen{ID: "job-1", Stamp: 900, CancelAge: age, Rec: storage.Open{Cancelled: true, Spec: b.s.jobs["job-1"].spec}})
+		learned := b.now
+		told := b.now - age
+		if age >= 34*time.Second {
+			told = b.now // no leader knew, or its lease would be over: nobody was told
+		}
+		asked, last := time.Duration(0), time.Duration(0)
+		for b.now < told+34*time.Second {
+			b.now += time.Second
+			for i := range 2 {
+				b.tally++
+				r := &protocol.Report{Rig: b.rig(i), Address: "x:1", Rigkind: "s8", Yard: "a", Shift: 1, Tally: b.tally, Baton: 3}
+				if r.Rig == held {
+					r.Pieces = []protocol.TaskReport{task}
+				}
+				for _, e := range b.step(ReportIn{Entitled: true, Stayed: true, Report: r}) {
+					switch e := e.(type) {
+					case DirectOut:
+						b.step(DirectDone{ID: e.ID, Rig: e.Rig})
+					case ReplyOut:
+						if e.OK && r.Rig == held {
+							last = b.now
+						} else if !e.OK && r.Rig != held {
+							t.Fatalf("age %v: the other machine is not answered", age)
+						}
+					}
+				}
+			}
+			for _, e := range b.step(Tick{Entitled: true}) {
+				if d, ok := e.(DeleteOut); ok && asked == 0 {
+					if d.Rigs[0] != held || len(d.Rigs) != 1 {
+						t.Fatalf("age %v: deletion of %v", age, d.Rigs)
+					}
+					asked = b.now
+				}
+			}
+		}
+		if last != 0 && last+14*time.Second > told+34*time.Second {
+			t.Errorf("age %v: answered until %v after the word to the user", age, last-told)
+		}
+		if asked == 0 || asked > told+30*time.Second {
+			t.Errorf("age %v: deletion asked for %v after the word to the user", age, asked-told)
+		}
+		if asked < learned+limits.CancelGrace {
+			t.Errorf("age %v: deleted %v after we learned of it, before its stop could take effect", age, asked-learned)
+		}
+	}
+}
+
 // TestMarkBeforeStart: a machine gets its first task only once the state service knows that it may have one; otherwise a
 // new leader would not look for it there.
 func TestMarkBeforeStart(t *testing.T) {
--- a/internal/coordination/scheduler/step.go
+++ b/internal/coordination/scheduler/step.go
@@ -138,7 +138,12 @@
 	}
 	j.stamp = e.Stamp
 	if e.Rec.Cancelled && !j.cancelled {
-		j.cancelled, j.cancelAt = true, s.now
+		// The time allowed counts from the earliest word to the user, also across a change of leaders. Where it is over already, a leader that
+		// knew has let no lease live; so nobody knew, nobody was told, and it begins now.
+		j.cancelled, j.cancelAt, j.cancelSeen = true, s.now, s.now
+		if e.CancelAge < limits.Seconds(s.cfg.Workers.CancelS) {
+			j.cancelAt -= e.CancelAge
+		}
 		s.note(false, "job cancelled", "job", j.id, "bound", len(j.bound))
 	}
 	if j.cancelled {
--- a/internal/coordination/scheduler/world_test.go
+++ b/internal/coordination/scheduler/world_test.go
@@ -209,7 +209,11 @@
 func (w *world) jobEvent(c *controller, key string) {
 	var o storage.Open
 	w.must(protocol.Decode(w.keys[key].data, &o))
-	w.step(c, JobSeen{ID: key[len("open/"):], Stamp: w.keys[key].stamp, Rec: o, Age: 0})
+	e := JobSeen{ID: key[len("open/"):], Stamp: w.keys[key].stamp, Rec: o}
+	if o.Cancelled {
+		e.CancelAge = w.now - time.Duration(o.CancelMs)*time.Millisecond
+	}
+	w.step(c, e)
 }
 
 // put is a write by a controller that takes users' requests; the leader's watch brings it.
@@ -744,7 +748,7 @@
 	if o.Cancelled {
 		return
 	}
-	o.Cancelled = true
+	o.Cancelled, o.CancelMs = true, w.now.Milliseconds()
 	w.jobs[key[len("open/"):]].cancelled = w.now
 	w.put(key, o)
 }
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -81,6 +81,8 @@
 	SubmitAnswer = 4 * time.Second
 	// PeerTimeout bounds the leader's answer on counts; they are for display only.
 	PeerTimeout = 250 * time.Millisecond
+	// ConfirmTimeout bounds the leader's word that it knows of a cancellation, asked of itself and then through the others; both fit into UserAnswer.
+	ConfirmTimeout = 600 * time.Millisecond
 	// RetryMin and RetryMax bound the jittered pause between tries at the state service and the cloud.
 	RetryMin = 100 * time.Millisecond
 	RetryMax = 2 * time.Second
@@ -366,8 +368,13 @@
 	CutPause = 3 * time.Second
 	// AskAgain is the pause before a deletion that got no clear answer is repeated.
 	AskAgain = 2 * time.Second
-	// CancelShare is the share of cancel_s after which a machine that still has a cancelled task is deleted.
-	CancelShare = 0.5
+	// CancelShare is the share of the time in which a machine's lease can still be let run out (see CancelLast) after which one that still has a
+	// cancelled task is deleted.
+	CancelShare = 0.6
+	// CancelGrace is how long a leader that has only now learned of an older cancellation lets stops take their effect before it deletes machines.
+	CancelGrace = 3 * time.Second
+	// CancelLatest is the share of cancel_s by which they are deleted all the same.
+	CancelLatest = 0.85
 	// MissingLists is how many lists in a row must lack a silent machine that was listed before it is deleted.
 	MissingLists = 2
 	// CloudShare is the part of the cloud's rate that a leader uses; at a take-over two terms may call for a moment.
@@ -424,6 +431,12 @@
 	return d - time.Duration(float64(d)*2*DriftShare) - HoldMargin
 }
 
+// CancelLast is how long after a cancellation a machine that still has the job's tasks may get an answer to a report: its lease then ends within
+// cancelWithin, whatever becomes of its deletion. It is at least half of cancelWithin, for leases that are too long for any of this.
+func CancelLast(cancelWithin, lease time.Duration) time.Duration {
+	return max(cancelWithin-WaitOut(lease), cancelWithin/2)
+}
+
 // PledgeLife is how long a controller's pledge to a leader lasts, by the workers' lease.
 func PledgeLife(lease time.Duration) time.Duration {
 	return min(max(time.Duration(float64(lease)*PledgeShare), PledgeMin), PledgeMax)
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -71,6 +71,7 @@
 type Beat struct {
 	Term uint64
 	Seq  uint64
+	Seen uint64 // the term has taken in all changes of open jobs up to this revision
 }
 
 // Let is a controller's word that it pledges no more to a leader whose last beat has that stamp, or an earlier one.
@@ -81,6 +82,7 @@
 	Spec      protocol.Spec
 	Cancelled bool
 	AtMs      int64 // time of day of the submission
+	CancelMs  int64 // time of day before which nobody was told that it is cancelled
 }
 
 // Final is a job that is over.
