--- /dev/null
+++ b/internal/coordination/controller/controller.go
@@ -0,0 +1,86 @@
+// Package controller puts the parts of one controller together.
+package controller
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"quillshunt/internal/config"
+	"quillshunt/internal/coordination/election"
+	"quillshunt/internal/coordination/gateway"
+	"quillshunt/internal/coordination/leader"
+	"quillshunt/internal/coordination/peer"
+	"quillshunt/internal/limits"
+	"quillshunt/internal/storage"
+	"quillshunt/internal/transport"
+)
+
+// Controller is one controller: what it serves to users and workers, and to the other controllers.
+type Controller struct {
+	Clients *transport.Server
+	Peers   *peer.Server
+
+	settings *config.Settings
+	desk     *leader.Desk
+	peers    *peer.Peers
+	elector  *election.Elector
+	front    *gateway.Gateway
+}
+
+// New puts a controller together. A nil dialer dials TCP.
+func New(s *config.Settings, options config.Options, dialer transport.Dialer, log *slog.Logger) (*Controller, error) {
+	shares := limits.ShareSockets(s.Facts.Machine.MaxSockets, len(s.Members))
+	sockets := transport.NewSockets(shares.Room, shares.Headroom)
+	store := storage.New(s.External.State, s.Facts.State).Over(dialer)
+	cloud := leader.NewCloud(s.External.Cloud, s.Facts.Cloud.RPS).Over(dialer)
+	desk := leader.NewDesk(s, options, store, cloud, sockets, log).Over(dialer)
+	elector := election.New(s.NodeName, store, time.Duration(options.Leadership.HoldLife), limits.PledgeLife(limits.Seconds(s.Facts.Workers.LeaseS)), desk.Lead, log)
+	desk.OnLost(elector.Lost)
+	peers, err := peer.Dial(s.Members, dialer)
+	if err != nil {
+		return nil, err
+	}
+	elector.Peers = peers
+	front := &gateway.Gateway{Node: s.NodeName, Store: store.ForUsers(), Desk: desk, Peers: peers, Leader: elector.Leader, Settings: s, Stage: shares.Stage, Log: log}
+	return &Controller{
+		Clients: &transport.Server{
+			Addr:      s.ClientListen,
+			MaxConns:  shares.Inbound,
+			MaxFleet:  shares.Fleet,
+			FleetIdle: limits.Seconds(s.Facts.Workers.LeaseS),
+			Sockets:   sockets,
+			Handle:    front.Handle,
+			Log:       log,
+		},
+		Peers:    peer.NewServer(desk, elector, peers),
+		settings: s,
+		desk:     desk,
+		peers:    peers,
+		elector:  elector,
+		front:    front,
+	}, nil
+}
+
+// Start begins to take part in elections and to prepare answers, until the context ends.
+func (c *Controller) Start(ctx context.Context) {
+	c.front.Start(ctx)
+	go c.elector.Run(ctx)
+}
+
+// Run starts the controller and serves until a part of it fails for good or the context ends.
+func (c *Controller) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c.Start(ctx)
+	failed := make(chan error, 2)
+	go func() { failed <- c.Peers.Run(ctx, c.settings.PeerBind) }()
+	go func() { failed <- c.Clients.Run(ctx) }()
+	return <-failed
+}
+
+// Entitled tells whether this controller is surely the leader at this moment.
+func (c *Controller) Entitled() bool { return c.desk.Entitled() }
+
+// Close hangs up on the other controllers.
+func (c *Controller) Close() { c.peers.Close() }
--- /dev/null
+++ b/internal/coordination/controller/meetings_test.go
@@ -0,0 +1,527 @@
+package controller
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"quillshunt/internal/limits"
+	"quillshunt/internal/protocol"
+	"quillshunt/internal/standin"
+)
+
+func long(sp *protocol.Spec) { sp.ReckonS = 150 }
+
+// met fails a day that did not come into the situation it is there for.
+func (s *service) met(ok bool, what string, args ...any) {
+	s.t.Helper()
+	if !ok {
+		s.t.Errorf("the day did not meet: "+what, args...)
+	}
+}
+
+// meetings are troubles that meet. Each day brings its meeting about, shows that it did, and ends calm.
+var meetings = []struct {
+	name string
+	day  func(s *service)
+}{
+	{"a quiet day", func(s *service) {
+		s.warm(4, nil)
+		s.met(s.cancel(s.pick(1)[0]), "a cancellation")
+		s.crowd(30*time.Second, 3*time.Second, nil)
+		time.Sleep(35 * time.Second)
+		s.met(s.term() == 1, "one term only")
+	}},
+	{"the state service refuses the leader alone, then everybody for longer than cancel_s, while users cancel and ask", func(s *service) {
+		s.warm(6, long)
+		lead := s.leader()
+		jobs := s.pick(4)
+		s.state.SetRefused(lead, true)
+		time.Sleep(500 * time.Millisecond)
+		for _, j := range jobs {
+			s.users.Go(func() { s.cancel(j) })
+		}
+		time.Sleep(time.Second)
+		s.met(s.told(jobs) > 0 && s.nodes[lead].c.Entitled(), "confirmed cancellations while the leader is refused: %d", s.told(jobs))
+		s.state.SetDown(true)
+		for range 10 {
+			time.Sleep(5 * time.Second)
+			for _, j := range jobs {
+				s.poll(j)
+			}
+		}
+		s.met(s.term() == 1, "the same leader all the while")
+		s.state.SetDown(false)
+		s.state.SetRefused(lead, false)
+	}},
+	{"the same with a silent watch in place of a refusal, and answers to the leader that come late", func(s *service) {
+		s.warm(6, long)
+		lead := s.leader()
+		jobs := s.pick(4)
+		s.net.Both(lead, "state-"+lead, standin.Hold)
+		time.Sleep(500 * time.Millisecond)
+		for _, j := range jobs {
+			s.users.Go(func() {
+				s.ask(j, s.other(lead))
+				s.cancel(j)
+			})
+		}
+		time.Sleep(1500 * time.Millisecond)
+		s.state.SetDown(true)
+		time.Sleep(time.Second)
+		s.net.Both(lead, "state-"+lead, standin.Open)
+		time.Sleep(50 * time.Second)
+		s.met(s.told(jobs) > 0, "confirmed cancellations")
+		s.state.SetDown(false)
+	}},
+	{"jobs are cancelled at the moment of the refusal, the leader is killed in the outage and returns", func(s *service) {
+		s.warm(6, long)
+		lead := s.leader()
+		jobs := s.pick(4)
+		s.together(jobs)
+		s.state.SetRefused(lead, true)
+		time.Sleep(time.Second)
+		s.state.SetDown(true)
+		time.Sleep(5 * time.Second)
+		s.restart(lead, 3*time.Second)
+		time.Sleep(45 * time.Second)
+		s.met(s.told(jobs) > 0, "confirmed cancellations")
+		s.state.SetDown(false)
+		s.state.SetRefused(lead, false)
+	}},
+	{"controllers refuse each other and the state service the leader; cancellations are confirmed by the beat", func(s *service) {
+		s.warm(6, long)
+		lead := s.leader()
+		for _, n := range s.names {
+			s.apart(n, standin.Refuse)
+		}
+		time.Sleep(10 * time.Second)
+		jobs := s.running()
+		before := s.term()
+		s.users.Go(func() {
+			s.met(s.cancel(jobs[0], s.other(lead)), "a cancellation confirmed by a controller that can't reach the leader")
+		})
+		time.Sleep(15 * time.Second)
+		s.met(s.told(jobs[:1]) == 1 && s.term() == before, "confirmed in the same term")
+		s.state.SetRefused(lead, true)
+		s.together(jobs[1:4])
+		s.takenOver(before)
+		s.outage(45 * time.Second)
+		for _, n := range s.names {
+			s.apart(n, standin.Open)
+		}
+		s.state.SetRefused(lead, false)
+	}},
+	{"a start is held up for longer than a report, its job is cancelled, and the machine goes on", func(s *service) {
+		s.warm(4, long)
+		all := s.cloud.Machines()
+		// What goes to the machines directly is held; their reports and the answers to them as well.
+		for _, m := range all {
+			s.net.Set(s.leader(), m, standin.Hold)
+		}
+		j := s.submit(func(sp *protocol.Spec) { sp.Pieces, sp.Urgency = 4, "production" })
+		time.Sleep(time.Second)
+		s.met(s.cancel(j), "a cancellation")
+		time.Sleep(2 * time.Second)
+		for _, m := range all[:len(all)/2] {
+			s.net.Set(s.leader(), m, standin.Open)
+		}
+		time.Sleep(9 * time.Second)
+		for _, m := range all {
+			s.net.Set(s.leader(), m, standin.Open)
+		}
+		time.Sleep(45 * time.Second)
+		s.met(s.on(j) == 0, "nothing of the job")
+	}},
+	{"machines hang with cancelled tasks and go on within their lease", func(s *service) {
+		s.warm(6, long)
+		jobs := s.pick(3)
+		for i, j := range jobs {
+			for _, m := range s.machines(j) {
+				s.cloud.Hang(m, time.Duration(8+3*i)*time.Second)
+			}
+		}
+		s.together(jobs)
+		time.Sleep(time.Second)
+		s.met(s.told(jobs) == 3 && s.on(jobs...) > 0, "cancelled tasks on hanging machines")
+		time.Sleep(45 * time.Second)
+	}},
+	{"a report is held back until a new leader has acted, and then arrives there", func(s *service) {
+		s.warm(6, long)
+		lead, before := s.leader(), s.term()
+		held := s.some(2)
+		s.reach(held, standin.Hold, standin.Hold)
+		s.cloud.SetCopies(func(rig string) (time.Duration, bool) { return 20 * time.Second, slices.Contains(held, rig) })
+		time.Sleep(3 * time.Second)
+		s.stop(lead)
+		next := s.takenOver(before)
+		time.Sleep(10 * time.Second)
+		s.reach(held, standin.Open, standin.Open)
+		time.Sleep(20 * time.Second)
+		s.met(next != lead, "another leader")
+		s.start(lead)
+	}},
+	{"transactions get no answer and are carried out late, after newer ones, while jobs end and are cancelled and leaders change", func(s *service) {
+		s.warm(4, nil)
+		late := 0
+		s.state.SetLate(func() (time.Duration, bool) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.r.Float64() > 0.25 {
+				return 0, false
+			}
+			late++
+			return time.Duration(2000+s.r.IntN(10000)) * time.Millisecond, true
+		})
+		s.crowd(60*time.Second, 4*time.Second, nil)
+		for range 6 {
+			time.Sleep(8 * time.Second)
+			if jobs := s.running(); len(jobs) > 0 {
+				s.together(jobs[:1])
+			}
+			s.restart(s.leader(), 500*time.Millisecond)
+		}
+		s.state.SetLate(nil)
+		s.mu.Lock()
+		s.met(late > 5, "late transactions: %d", late)
+		s.mu.Unlock()
+		time.Sleep(15 * time.Second)
+	}},
+	{"old reports arrive after newer ones, also from an earlier session or attempt", func(s *service) {
+		s.warm(4, nil)
+		n := 0
+		s.cloud.SetCopies(func(string) (time.Duration, bool) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			n++
+			return time.Duration(2000+s.r.IntN(30000)) * time.Millisecond, s.r.Float64() < 0.4
+		})
+		s.crowd(70*time.Second, 5*time.Second, nil)
+		for i := range 3 {
+			some := s.some(2)
+			s.reach(some, standin.Lose, standin.Lose)
+			time.Sleep(limits.Seconds(leaseS + 2))
+			s.reach(some, standin.Open, standin.Open)
+			if i == 1 {
+				s.restart(s.leader(), time.Second)
+			}
+			time.Sleep(5 * time.Second)
+		}
+		s.cloud.SetCopies(nil)
+		s.mu.Lock()
+		s.met(n > 50, "copies")
+		s.mu.Unlock()
+	}},
+	{"a leader is cut from the state service and the other controllers, not from workers and users; jobs are cancelled through the new one", func(s *service) {
+		s.warm(6, long)
+		lead, before := s.leader(), s.term()
+		jobs := s.pick(4)
+		s.net.Both(lead, "state-"+lead, standin.Refuse)
+		s.apart(lead, standin.Hold)
+		for i, node := range []string{lead, s.other(lead)} {
+			s.users.Go(func() {
+				s.met(!s.ask(jobs[i], node), "a cancellation that can't be confirmed")
+				s.cancel(jobs[i])
+			})
+		}
+		time.Sleep(2 * time.Second)
+		s.met(s.nodes[lead].c.Entitled(), "the old leader still there")
+		for s.term() == before {
+			time.Sleep(100 * time.Millisecond)
+		}
+		s.together(jobs[2:])
+		time.Sleep(50 * time.Second)
+		s.met(s.told(jobs) == 4, "all four cancelled: %d", s.told(jobs))
+		s.net.Both(lead, "state-"+lead, standin.Open)
+		s.apart(lead, standin.Open)
+	}},
+	{"all controllers are away for longer than lease_s", func(s *service) {
+		s.warm(6, long)
+		jobs := s.pick(2)
+		s.together(jobs)
+		time.Sleep(200 * time.Millisecond)
+		s.met(s.on(s.running()...) > 0, "tasks on machines")
+		for _, n := range s.names {
+			s.stop(n)
+		}
+		time.Sleep(limits.Seconds(leaseS + 4))
+		for _, n := range s.names {
+			s.start(n)
+		}
+		time.Sleep(20 * time.Second)
+	}},
+	{"more work than room, urgent and not, over slow links", func(s *service) {
+		s.net.SetLatency(150 * time.Millisecond)
+		s.warm(4, nil)
+		s.crowd(60*time.Second, 2*time.Second, func(sp *protocol.Spec) { sp.Pieces = 6 })
+		time.Sleep(30 * time.Second)
+		s.together(s.pick(2))
+		s.restart(s.leader(), 2*time.Second)
+		time.Sleep(30 * time.Second)
+		s.net.SetLatency(time.Millisecond)
+	}},
+	{"leaders change ten times in two minutes, also inside an outage", func(s *service) {
+		s.warm(4, long)
+		first := s.term()
+		s.crowd(100*time.Second, 10*time.Second, nil)
+		for i := range 10 {
+			if i == 5 {
+				s.state.SetDown(true)
+			}
+			if i == 7 {
+				s.state.SetDown(false)
+			}
+			if jobs := s.running(); len(jobs) > 0 {
+				s.together(jobs[:1])
+			}
+			var lead string
+			for _, n := range s.names {
+				if p := s.nodes[n]; p != nil && p.c.Entitled() {
+					lead = n
+				}
+			}
+			if lead != "" {
+				s.restart(lead, time.Duration(i%3)*400*time.Millisecond)
+			}
+			time.Sleep(10 * time.Second)
+		}
+		s.met(s.term() >= first+7, "changes of the leader: %d", s.term()-first)
+	}},
+	{"a team is at its limit when the leader changes, some of its machines can't be asked, and a cancellation falls into that spell", func(s *service) {
+		s.warm(2, func(sp *protocol.Spec) { sp.Crew, sp.Pieces, sp.ReckonS = "red", 8, 150 })
+		for end := time.Now().Add(time.Minute); s.on(s.running()...) < 16 && time.Now().Before(end); {
+			time.Sleep(500 * time.Millisecond)
+		}
+		s.met(s.on(s.running()...) == 16, "the team at its limit: %d", s.on(s.running()...))
+		more := s.submit(func(sp *protocol.Spec) { sp.Crew, sp.Pieces, sp.Urgency = "red", 8, "production" })
+		j := s.pick(1)[0]
+		some := s.machines(j)[:1]
+		s.reach(some, standin.Hold, standin.Hold)
+		before := s.term()
+		s.restart(s.leader(), 200*time.Millisecond)
+		s.together([]*job{j})
+		s.takenOver(before)
+		time.Sleep(5 * time.Second)
+		s.reach(some, standin.Open, standin.Open)
+		time.Sleep(40 * time.Second)
+		s.met(s.told([]*job{j}) == 1, "a cancellation")
+		_ = more
+	}},
+	{"jobs of two or three tasks end far apart across a change of leader", func(s *service) {
+		s.warm(5, func(sp *protocol.Spec) { sp.Pieces = 2 + s.seq%2 })
+		// Machines go one after the other while the last tasks of jobs run: what was done must stay done.
+		for i := range 5 {
+			time.Sleep(5 * time.Second)
+			if ms := s.machines(nil); len(ms) > 0 {
+				s.cloud.Kill(ms[0])
+			}
+			if i%2 == 1 {
+				s.restart(s.leader(), time.Second)
+			}
+		}
+		s.met(s.term() >= 3, "changes of the leader")
+	}},
+	{"a zone with workers and a controller is cut off for longer than lease_s", func(s *service) {
+		s.warm(8, long)
+		lead, before := s.leader(), s.term()
+		zone := s.zones[slices.Index(s.names, lead)]
+		var in, out []string
+		for _, m := range s.cloud.Machines() {
+			if s.cloud.Zone(m) == zone {
+				in = append(in, m)
+			} else {
+				out = append(out, m)
+			}
+		}
+		jobs := s.pick(4)
+		s.apart(lead, standin.Hold)
+		s.net.Both(lead, "state-"+lead, standin.Hold)
+		for _, m := range out {
+			s.net.Both(lead, m, standin.Hold)
+		}
+		for _, m := range in {
+			for _, n := range s.names {
+				if n != lead {
+					s.net.Both(n, m, standin.Hold)
+				}
+			}
+		}
+		s.met(len(out) > 0, "machines outside the zone")
+		s.together(jobs)
+		s.takenOver(before)
+		time.Sleep(limits.Seconds(leaseS + 10))
+		s.apart(lead, standin.Open)
+		s.net.Both(lead, "state-"+lead, standin.Open)
+		for _, m := range append(in, out...) {
+			for _, n := range s.names {
+				s.net.Both(n, m, standin.Open)
+			}
+		}
+	}},
+	{"a cancellation, a question or a repeated submission meets the end of a job's last task", func(s *service) {
+		s.warm(2, nil)
+		for i := range 20 {
+			s.users.Go(func() {
+				j := s.submit(func(sp *protocol.Spec) { sp.Pieces, sp.ReckonS, sp.Urgency = 1, 3, "production" })
+				for s.on(j) == 0 {
+					time.Sleep(5 * time.Millisecond)
+				}
+				time.Sleep(3*time.Second + time.Duration(i)*100*time.Millisecond) // its end is reported within these two seconds
+				s.users.Go(func() { s.cancel(j) })
+				for range 5 {
+					s.poll(j)
+					time.Sleep(20 * time.Millisecond)
+				}
+				body := protocol.Encode(submission(s.t, j.spec))
+				for _, n := range s.names {
+					sent := time.Now()
+					status, standing := s.call(n, "POST", "/v2/runs", body, 5*time.Second)
+					s.hear(j, status, standing, sent)
+				}
+			})
+			time.Sleep(700 * time.Millisecond)
+		}
+		time.Sleep(20 * time.Second)
+		jobs := s.known()
+		n := s.told(jobs)
+		s.met(n > 0 && n < len(jobs)-2, "both outcomes: %d of %d cancelled", n, len(jobs))
+	}},
+	{"a leader ends while machines with long tasks can't be reached, or don't hear the new leader's answer", func(s *service) {
+		s.warm(8, long)
+		lead, before := s.leader(), s.term()
+		ms := s.machines(nil)
+		s.reach(ms[:1], standin.Hold, standin.Hold)  // can't be reached
+		s.reach(ms[1:2], standin.Lose, standin.Open) // doesn't hear
+		jobs := s.pick(3)
+		s.stop(lead)
+		s.together(jobs)
+		s.takenOver(before)
+		time.Sleep(12 * time.Second)
+		s.reach(ms[:2], standin.Open, standin.Open)
+		time.Sleep(20 * time.Second)
+		s.start(lead)
+		s.met(s.told(jobs) == 3, "cancellations")
+	}},
+	{"controllers hand over and back, all end, and one returns, also within a second", func(s *service) {
+		s.warm(6, long)
+		first := s.term()
+		for range 2 {
+			lead, before := s.leader(), s.term()
+			s.state.SetRefused(lead, true)
+			s.takenOver(before)
+			s.state.SetRefused(lead, false)
+		}
+		s.met(s.term() >= first+2, "handed over and back")
+		jobs := s.pick(2)
+		s.together(jobs)
+		time.Sleep(100 * time.Millisecond)
+		for _, n := range s.names {
+			s.stop(n)
+		}
+		time.Sleep(300 * time.Millisecond)
+		s.start(s.names[0])
+		time.Sleep(20 * time.Second)
+		s.start(s.names[1])
+		s.start(s.names[2])
+	}},
+	{"workers can't open connections to any controller, while direct commands still reach them", func(s *service) {
+		s.warm(6, long)
+		ms := s.machines(nil)
+		ms = ms[:len(ms)/2]
+		for _, m := range ms {
+			for _, n := range s.names {
+				s.net.Set(m, n, standin.Refuse)
+			}
+		}
+		jobs := s.pick(3)
+		s.together(jobs)
+		time.Sleep(3 * time.Second)
+		before := s.term()
+		s.restart(s.leader(), time.Second)
+		s.takenOver(before)
+		time.Sleep(limits.Seconds(leaseS + 5))
+		s.reach(ms, standin.Open, standin.Open)
+		s.met(s.told(jobs) == 3, "cancellations")
+	}},
+	{"jobs bound to one zone, arrays too, lose machines", func(s *service) {
+		s.warm(4, func(sp *protocol.Spec) {
+			sp.ReckonS, sp.Together, sp.Pieces = 20, s.seq%2 == 0, 5
+			if s.seq%2 == 1 {
+				sp.Yard = "b"
+			}
+		})
+		for i := range 4 {
+			for _, m := range s.some(2) {
+				if i%2 == 0 {
+					s.cloud.Kill(m)
+				} else {
+					s.cloud.Hang(m, 25*time.Second)
+				}
+			}
+			time.Sleep(12 * time.Second)
+		}
+	}},
+	{"users repeat submissions, cancel what is done, and send what can't run or lacks a field, also in an outage", func(s *service) {
+		s.warm(4, nil)
+		time.Sleep(25 * time.Second)
+		good := protocol.Spec{NameId: "job-900000", Docket: "x", Crew: "red", Shape: "sweep", Urgency: "low", Pieces: 1, Vcpus: 1, RamGb: 1, Bundle: "i", ReckonS: 1}
+		odd := func() {
+			for name := range submission(s.t, good) {
+				m := submission(s.t, good)
+				delete(m, name)
+				if status, _ := s.call(s.names[0], "POST", "/v2/runs", protocol.Encode(m), 5*time.Second); status != 400 {
+					s.t.Errorf("without %s: %d", name, status)
+				}
+			}
+			for what, v := range map[string]any{"Vcpus": 99.0, "Crew": "nobody", "Yard": "z"} {
+				m := submission(s.t, good)
+				m[what] = v
+				// Whether it was accepted before cannot be told in an outage.
+				if status, _ := s.call(s.names[1], "POST", "/v2/runs", protocol.Encode(m), 5*time.Second); status != 422 && !(s.state.Down() && status == 503) {
+					s.t.Errorf("%s %v: %d", what, v, status)
+				}
+			}
+			if status, _ := s.call(s.names[2], "GET", "/v2/runs/job-900000", nil, 2*time.Second); status != 404 && !(s.state.Down() && status == 503) {
+				s.t.Errorf("a job that nobody submitted: %d", status)
+			}
+		}
+		odd()
+		for _, j := range s.known() {
+			s.poll(j)
+		}
+		time.Sleep(time.Second)
+		for _, j := range s.known() {
+			s.cancel(j)
+		}
+		s.state.SetDown(true)
+		time.Sleep(2 * time.Second)
+		odd()
+		s.state.SetDown(false)
+	}},
+}
+
+// TestMeetings plays each meeting of troubles, with fixed seeds. QUILLSHUNT_RANDOM=n plays n random seeds of each.
+func TestMeetings(t *testing.T) {
+	seeds := []uint64{1}
+	if n, err := strconv.Atoi(os.Getenv("QUILLSHUNT_RANDOM")); err == nil {
+		seeds = nil
+		for range n {
+			seeds = append(seeds, rand.Uint64()%1e6)
+		}
+	}
+	for _, m := range meetings {
+		for _, seed := range seeds {
+			t.Run(fmt.Sprintf("%s/%d", m.name, seed), func(t *testing.T) {
+				t.Parallel()
+				play(t, seed, func(s *service) {
+					m.day(s)
+					s.calm()
+				})
+			})
+		}
+	}
+}
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -159,7 +159,7 @@
 }
 
 // health is 503 while we alone do not reach the state service: then users are better served by another node. In an outage for all it stays
-// 200, as it would help nobody if all nodes were taken out.
+// 200, as it would help nobody if all nodes were taken out. A node that hears of no other either is taken to be the one that is cut off.
 func (g *Gateway) health() int {
 	if g.Store.Failing() < limits.AloneAfter {
 		g.alone.Store(false)
@@ -168,7 +168,8 @@
 	if g.asking.CompareAndSwap(false, true) {
 		go func() {
 			defer g.asking.Store(false)
-			g.alone.Store(g.Peers.Able(g.ctx) != "")
+			able, heard := g.Peers.AnyAble(g.ctx)
+			g.alone.Store(able != "" || (!heard && g.Peers.Size() > 0))
 			// Nobody may call while we are out of service, so look for ourselves whether it is over.
 			_, _ = g.Store.Get(g.ctx, storage.KeyTerm)
 		}()
--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -60,7 +60,7 @@
 		Teams: []config.Team{{Name: "vision", CPUsMax: 100, GPUsMax: 4}, {Name: "tiny", CPUsMax: 1}},
 		State: config.State{RPS: 10_000, WriteRPS: 10_000, ValueKB: 4, TxnOps: 8}}}
 	store := storage.New(back, s.Facts.State)
-	peers, err := peer.Dial(nil)
+	peers, err := peer.Dial(nil, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/coordination/gateway/thousands_test.go
+++ b/internal/coordination/gateway/thousands_test.go
@@ -136,7 +136,7 @@
 	}
 	sockets := transport.NewSockets(shares.Room, shares.Headroom)
 	store := storage.New(stateAddr, s.Facts.State)
-	peers, err := peer.Dial(nil)
+	peers, err := peer.Dial(nil, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/coordination/leader/cloud.go
+++ b/internal/coordination/leader/cloud.go
@@ -33,6 +33,12 @@
 	}
 }
 
+// Over makes it dial another way. It is called before the first use.
+func (c *Cloud) Over(d transport.Dialer) *Cloud {
+	c.http.Over(d)
+	return c
+}
+
 var errCloud = errors.New("cloud")
 
 // call sends one request. Statuses other than 200 come as errors unless they are in pass.
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -34,6 +34,7 @@
 	sockets  *transport.Sockets // or nil
 	log      *slog.Logger
 	lost     func(term uint64)
+	dialer   transport.Dialer // to workers
 	term     atomic.Pointer[term]
 }
 
@@ -42,6 +43,12 @@
 	return &Desk{settings: settings, options: options, store: store, cloud: cloud, sockets: sockets, log: log, lost: func(uint64) {}}
 }
 
+// Over makes it dial workers another way. It is called before the first use.
+func (d *Desk) Over(dialer transport.Dialer) *Desk {
+	d.dialer = dialer
+	return d
+}
+
 // OnLost sets who is told that a term was found to be over.
 func (d *Desk) OnLost(f func(term uint64)) { d.lost = f }
 
@@ -92,6 +99,12 @@
 // Leads tells whether this process leads.
 func (d *Desk) Leads() bool { return d.term.Load() != nil }
 
+// Entitled tells whether it is surely the leader at this moment.
+func (d *Desk) Entitled() bool {
+	t := d.term.Load()
+	return t != nil && t.m.Entitled()
+}
+
 // Report hands a report to the term; stayed tells that the worker got a 200 before on its connection. It is answered 503 at once if nobody leads here
 // or the mailbox is full.
 func (d *Desk) Report(r *protocol.Report, stayed bool, reply Reply) {
--- a/internal/coordination/leader/workers.go
+++ b/internal/coordination/leader/workers.go
@@ -41,7 +41,7 @@
 	}
 	pctx, cancel := context.WithTimeout(ctx, limits.ProbeTimeout)
 	defer cancel()
-	c := transport.NewClient(p.Address, 1, limits.MaxBodyBytes).Within(t.d.sockets)
+	c := transport.NewClient(p.Address, 1, limits.MaxBodyBytes).Within(t.d.sockets).Over(t.d.dialer)
 	defer c.Close()
 	r, err := t.probeReport(pctx, c)
 	if err != nil {
@@ -83,7 +83,7 @@
 		if len(t.workers) >= t.clients {
 			t.giveUp(1)
 		}
-		c = transport.NewClient(addr, 1, limits.MaxBodyBytes).Within(t.d.sockets)
+		c = transport.NewClient(addr, 1, limits.MaxBodyBytes).Within(t.d.sockets).Over(t.d.dialer)
 		t.workers[addr] = c
 	}
 	return c
--- a/internal/coordination/peer/peer.go
+++ b/internal/coordination/peer/peer.go
@@ -16,6 +16,7 @@
 	"quillshunt/internal/config"
 	"quillshunt/internal/coordination/peer/peerpb"
 	"quillshunt/internal/limits"
+	"quillshunt/internal/transport"
 )
 
 // Counts are a job's task counts.
@@ -73,6 +74,11 @@
 	if err != nil {
 		return fmt.Errorf("listen for controllers: %w", err)
 	}
+	return s.Serve(ctx, ln)
+}
+
+// Serve serves on a listener until the context ends.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
 	stop := context.AfterFunc(ctx, s.grpc.Stop)
 	defer stop()
 	if err := s.grpc.Serve(ln); err != nil && !errors.Is(err, grpc.ErrServerStopped) {
@@ -152,12 +158,13 @@
 // Peers are the other controllers.
 type Peers struct{ conns map[string]*grpc.ClientConn }
 
-// Dial prepares connections; they are made when first used.
-func Dial(members []config.Member) (*Peers, error) {
+// Dial prepares connections; they are made when first used. A nil dialer dials TCP.
+func Dial(members []config.Member, dialer transport.Dialer) (*Peers, error) {
 	p := &Peers{conns: map[string]*grpc.ClientConn{}}
 	for _, m := range members {
 		conn, err := grpc.NewClient("passthrough:///"+m.Address,
 			grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithContextDialer(dialer.Dial),
 			grpc.WithConnectParams(grpc.ConnectParams{
 				Backoff:           backoff.Config{BaseDelay: limits.RetryMin, Multiplier: 2, Jitter: 0.2, MaxDelay: limits.RetryMax},
 				MinConnectTimeout: limits.DialTimeout,
@@ -226,6 +233,12 @@
 
 // Able returns the name of a controller that reaches the state service, or "".
 func (p *Peers) Able(ctx context.Context) string {
+	name, _ := p.AnyAble(ctx)
+	return name
+}
+
+// AnyAble returns the name of a controller that reaches the state service, or "", and whether any controller answered.
+func (p *Peers) AnyAble(ctx context.Context) (name string, heard bool) {
 	able := askAll(ctx, p, limits.AbleTimeout, func(ctx context.Context, name string, c peerpb.PeerClient) (string, error) {
 		r, err := c.Able(ctx, &peerpb.AbleRequest{})
 		if err != nil || !r.GetAble() {
@@ -235,10 +248,18 @@
 	})
 	for name := range able {
 		if name != "" {
-			return name
+			return name, true
 		}
+		heard = true
+	}
+	return "", heard
+}
+
+// Close hangs up.
+func (p *Peers) Close() {
+	for _, conn := range p.conns {
+		_ = conn.Close()
 	}
-	return ""
 }
 
 // Size is how many other controllers there are.
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"quillshunt/internal/config"
+	"quillshunt/internal/limits"
 	"quillshunt/internal/protocol"
 	"quillshunt/internal/transport"
 )
@@ -20,11 +22,23 @@
 	Controllers map[string]string
 	Log         *slog.Logger
 
+	// What follows is for tests. Its zero values are those of the quick start.
+
+	Net     *Network                                  // nil: TCP
+	Times   config.Workers                            // of the workers; zero: the quick start's
+	Spec    func(job string) (protocol.Spec, bool)    // what a worker knows of a job; nil: it reads the state service
+	Watch   func(rig, piece string, runs bool)        // told when a task begins to run on a machine, or is gone from it
+	Trouble func(req *transport.Message) (status int) // a status in place of an answer; 0: none
+
 	mu    sync.Mutex
 	ctx   context.Context
 	seq   int
 	rigs  map[string]*worker
 	hired map[string][]string
+
+	results sync.Mutex      // for what follows
+	done    map[string]bool // tasks that completed anywhere: their results are kept
+	copies  func(rig string) (time.Duration, bool)
 }
 
 // Start prepares the cloud; its machines end with the context.
@@ -32,6 +46,88 @@
 	c.ctx = ctx
 	c.rigs = map[string]*worker{}
 	c.hired = map[string][]string{}
+	c.done = map[string]bool{}
+	if c.Times == (config.Workers{}) {
+		c.Times = config.Workers{ReportS: reportEvery.Seconds(), LeaseS: leaseFor.Seconds()}
+	}
+}
+
+func (c *Cloud) dialer(from string) transport.Dialer {
+	if c.Net == nil {
+		return nil
+	}
+	return c.Net.Dialer(from)
+}
+
+// Machines are the names of all machines, in the order of their creation.
+func (c *Cloud) Machines() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []string
+	for name := range c.rigs {
+		out = append(out, name)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// SetCopies sets whether a copy of a machine's report arrives again, and how much later; nil: none does.
+func (c *Cloud) SetCopies(f func(rig string) (time.Duration, bool)) {
+	c.results.Lock()
+	defer c.results.Unlock()
+	c.copies = f
+}
+
+func (c *Cloud) copied(rig string) (time.Duration, bool) {
+	c.results.Lock()
+	f := c.copies
+	c.results.Unlock()
+	if f == nil {
+		return 0, false
+	}
+	return f(rig)
+}
+
+// Done tells whether a task completed.
+func (c *Cloud) Done(piece string) bool {
+	c.results.Lock()
+	defer c.results.Unlock()
+	return c.done[piece]
+}
+
+// Zone is where a machine is, or "".
+func (c *Cloud) Zone(name string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w := c.rigs[name]; w != nil {
+		return w.rig.Yard
+	}
+	return ""
+}
+
+// Lapsed tells whether a machine is gone or its lease is over, also if it hangs and has not noticed.
+func (c *Cloud) Lapsed(name string) bool {
+	c.mu.Lock()
+	w := c.rigs[name]
+	c.mu.Unlock()
+	if w == nil {
+		return true
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Since(w.answered) > limits.Seconds(c.Times.LeaseS)
+}
+
+// Hang stops a machine for a while; then it goes on with what it had.
+func (c *Cloud) Hang(name string, d time.Duration) {
+	c.mu.Lock()
+	w := c.rigs[name]
+	c.mu.Unlock()
+	if w != nil {
+		w.mu.Lock()
+		w.hungTill = time.Now().Add(d)
+		w.mu.Unlock()
+	}
 }
 
 // Server serves the cloud on an address.
@@ -40,6 +136,12 @@
 }
 
 func (c *Cloud) handle(req *transport.Message, rsp *transport.Responder) {
+	if c.Trouble != nil {
+		if status := c.Trouble(req); status != 0 {
+			rsp.Respond(status, protocol.Encode(map[string]string{"error": "trouble"}), 0)
+			return
+		}
+	}
 	switch {
 	case req.Path == "/machine_types":
 		rsp.Respond(200, protocol.Encode(protocol.RigkindList{Rigkinds: c.Types}), 0)
@@ -104,11 +206,20 @@
 // Kill ends a machine with everything on it.
 func (c *Cloud) Kill(name string) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if w := c.rigs[name]; w != nil {
-		w.cancel()
-		delete(c.rigs, name)
+	w := c.rigs[name]
+	delete(c.rigs, name)
+	c.mu.Unlock()
+	if w == nil {
+		return
+	}
+	w.cancel()
+	if c.Net != nil {
+		c.Net.Down(name)
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.killAll()
+	w.shift = 0 // whatever still reaches it finds nobody
 }
 
 func (c *Cloud) list(since string) protocol.RigList {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -25,6 +25,9 @@
 	nextID uint64
 	down   bool
 	waits  map[chan struct{}]bool
+
+	refused map[string]bool // callers that alone are refused
+	late    func() (time.Duration, bool)
 }
 
 type hold struct {
@@ -34,7 +37,7 @@
 
 // NewState returns an empty State.
 func NewState() *State {
-	return &State{keys: map[string]protocol.Pair{}, holds: map[uint64]hold{}, waits: map[chan struct{}]bool{}}
+	return &State{keys: map[string]protocol.Pair{}, holds: map[uint64]hold{}, waits: map[chan struct{}]bool{}, refused: map[string]bool{}}
 }
 
 // SetDown starts or ends an outage. After one, all holds have their full time again.
@@ -47,6 +50,38 @@
 		h.ends = time.Now().Add(h.life)
 		s.holds[id] = h
 	}
+	s.wake()
+}
+
+// SetRefused refuses one caller alone, or serves it again.
+func (s *State) SetRefused(caller string, refused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused[caller] = refused
+	s.wake()
+}
+
+// SetLate sets whether a transaction gets no answer in time and is carried out so much later; nil: none does.
+func (s *State) SetLate(f func() (time.Duration, bool)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late = f
+}
+
+func (s *State) delayed() (time.Duration, bool) {
+	s.mu.Lock()
+	f := s.late
+	s.mu.Unlock()
+	if f == nil {
+		return 0, false
+	}
+	return f()
+}
+
+func (s *State) serves(caller string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.down && !s.refused[caller]
 }
 
 // expire ends holds that were not renewed. The caller has the lock.
@@ -215,11 +250,17 @@
 
 // Server serves the state service on an address.
 func (s *State) Server(addr string, log *slog.Logger) *transport.Server {
-	return &transport.Server{Addr: addr, MaxConns: 1000, Handle: s.handle, Log: log}
+	return s.ServerFor("", addr, log)
+}
+
+// ServerFor serves one caller, who can be refused alone.
+func (s *State) ServerFor(caller, addr string, log *slog.Logger) *transport.Server {
+	return &transport.Server{Addr: addr, MaxConns: 1000, Log: log,
+		Handle: func(req *transport.Message, rsp *transport.Responder) { s.handle(caller, req, rsp) }}
 }
 
-func (s *State) handle(req *transport.Message, rsp *transport.Responder) {
-	if s.Down() && !strings.HasPrefix(req.Path, "/watch") {
+func (s *State) handle(caller string, req *transport.Message, rsp *transport.Responder) {
+	if !s.serves(caller) && !strings.HasPrefix(req.Path, "/watch") {
 		rsp.Respond(503, nil, 0)
 		return
 	}
@@ -252,6 +293,13 @@
 			rsp.Respond(400, nil, 0)
 			return
 		}
+		if after, late := s.delayed(); late {
+			time.AfterFunc(after, func() {
+				s.Txn(t)
+				rsp.Respond(503, nil, 0) // the caller has given up long ago
+			})
+			return
+		}
 		status, r := s.Txn(t)
 		rsp.Respond(status, protocol.Encode(r), 0)
 	case path == "/holds":
@@ -275,24 +323,27 @@
 		}
 		rsp.Respond(200, nil, 0)
 	case path == "/watch":
-		go s.watch(q.Get("Starts"), number("Since"), time.Duration(number("HoldMs"))*time.Millisecond, rsp)
+		go s.watch(caller, q.Get("Starts"), number("Since"), time.Duration(number("HoldMs"))*time.Millisecond, rsp)
 	default:
 		rsp.Respond(404, nil, 0)
 	}
 }
 
-func (s *State) watch(prefix string, since uint64, wait time.Duration, rsp *transport.Responder) {
+func (s *State) watch(caller, prefix string, since uint64, wait time.Duration, rsp *transport.Responder) {
 	end := time.NewTimer(wait)
 	defer end.Stop()
 	for {
 		r, next := s.Changes(prefix, since)
-		if len(r.Log) > 0 && !s.Down() {
+		if len(r.Log) > 0 && s.serves(caller) {
 			rsp.Respond(200, protocol.Encode(r), 0)
 			return
 		}
 		select {
 		case <-next:
 		case <-end.C:
+			if !s.serves(caller) { // it tells nothing meanwhile
+				r = protocol.WatchReply{Ledger: since, Log: []protocol.Change{}}
+			}
 			rsp.Respond(200, protocol.Encode(r), 0)
 			return
 		}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -19,6 +19,7 @@
 	reportEvery = time.Second
 	leaseFor    = 10 * time.Second
 	answerIn    = 4 * time.Second
+	tryNext     = time.Second
 )
 
 // worker is a machine of the stand-in cloud. Its tasks only wait for the time that their owner reckons with.
@@ -28,12 +29,14 @@
 	cancel context.CancelFunc
 	born   time.Time
 
-	mu    sync.Mutex
-	rig   protocol.Rig
-	shift uint64
-	tally uint64
-	baton uint64
-	tasks map[string]*task // by piece and attempt
+	mu       sync.Mutex
+	rig      protocol.Rig
+	shift    uint64 // 0: not up, or gone
+	tally    uint64
+	baton    uint64
+	answered time.Time // when the last report was sent that was answered
+	hungTill time.Time
+	tasks    map[string]*task // by piece and attempt
 }
 
 type task struct {
@@ -46,53 +49,54 @@
 	if !storage.Sleep(ctx, time.Duration(w.typ.StartupS*float64(time.Second))) {
 		return
 	}
-	addr, err := freeAddress()
+	addr, err := w.listen(ctx)
 	if err != nil {
 		w.cloud.Log.Error("worker", "err", err)
 		return
 	}
 	w.mu.Lock()
+	if ctx.Err() != nil {
+		w.mu.Unlock()
+		return
+	}
 	w.rig.Address, w.rig.Standing = addr, protocol.RigRunning
-	w.shift, w.tasks = 1, map[string]*task{}
+	w.shift, w.tasks, w.answered = 1, map[string]*task{}, time.Now()
 	w.mu.Unlock()
-	server := &transport.Server{Addr: addr, MaxConns: 20, Handle: w.handle, Log: w.cloud.Log}
-	go func() {
-		if err := server.Run(ctx); err != nil {
-			w.cloud.Log.Error("worker", "machine", w.rig.NameId, "err", err)
-		}
-	}()
 	var names []string
-	for n := range w.cloud.Controllers {
+	clients := map[string]*transport.Client{}
+	for n, a := range w.cloud.Controllers {
 		names = append(names, n)
+		clients[n] = transport.NewClient(a, 1, limits.MaxBodyBytes).Over(w.cloud.dialer(w.rig.NameId))
+		defer clients[n].Close()
 	}
 	sort.Strings(names)
-	at, answered := 0, time.Now()
-	for ctx.Err() == nil {
-		if time.Since(answered) > leaseFor {
-			w.mu.Lock()
-			w.shift++
-			w.tasks = map[string]*task{}
-			w.mu.Unlock()
-			answered = time.Now()
-		}
+	at := 0
+	for w.awake(ctx) {
 		sent := time.Now()
 		w.mu.Lock()
 		r := w.report()
 		w.mu.Unlock()
-		status, leader, reply := w.send(ctx, w.cloud.Controllers[names[at]], r)
-		pause := reportEvery
+		status, leader, reply := w.send(ctx, clients[names[at]], r)
+		if !w.awake(ctx) {
+			return
+		}
+		pause := limits.Seconds(w.cloud.Times.ReportS)
 		switch {
-		case status == 200 && w.take(r.Shift, reply):
-			answered = sent
+		case status == 200:
+			if time.Since(sent) < answerIn {
+				w.take(r.Shift, reply, sent)
+			}
 		case status == 421 && leader != "" && leader != names[at]:
+			clients[names[at]].Close()
 			for i, n := range names {
 				if n == leader {
 					at = i
 				}
 			}
-			pause = reportEvery / 10
+			pause = tryNext / 10
 		default:
 			at = (at + 1) % len(names)
+			pause = tryNext
 		}
 		if !storage.Sleep(ctx, pause) {
 			return
@@ -100,12 +104,78 @@
 	}
 }
 
-// send makes one report over a connection of its own.
-func (w *worker) send(ctx context.Context, addr string, r protocol.Report) (status int, leader string, reply protocol.ReportReply) {
+// listen serves direct commands.
+func (w *worker) listen(ctx context.Context) (string, error) {
+	server := &transport.Server{MaxConns: 20, Handle: w.handle, Log: w.cloud.Log}
+	if w.cloud.Net != nil {
+		addr := w.rig.NameId + ":9000"
+		go Serve(w.cloud.Net.Listen(addr), server)
+		return addr, nil
+	}
+	addr, err := freeAddress()
+	if err != nil {
+		return "", err
+	}
+	server.Addr = addr
+	go func() {
+		if err := server.Run(ctx); err != nil {
+			w.cloud.Log.Error("worker", "machine", w.rig.NameId, "err", err)
+		}
+	}()
+	return addr, nil
+}
+
+// awake waits while the machine hangs, and then looks at its lease before all else. It returns false once the machine is gone.
+func (w *worker) awake(ctx context.Context) bool {
+	for {
+		w.mu.Lock()
+		hung := time.Until(w.hungTill)
+		if hung <= 0 {
+			w.expire()
+			w.mu.Unlock()
+			return ctx.Err() == nil
+		}
+		w.mu.Unlock()
+		if !storage.Sleep(ctx, hung) {
+			return false
+		}
+	}
+}
+
+// expire ends the session when its lease is over; the caller has the lock.
+func (w *worker) expire() {
+	if w.shift > 0 && time.Since(w.answered) > limits.Seconds(w.cloud.Times.LeaseS) {
+		w.killAll()
+		w.shift++
+		w.answered = time.Now()
+	}
+}
+
+// killAll ends and forgets all tasks; the caller has the lock.
+func (w *worker) killAll() {
+	for _, t := range w.tasks {
+		if t.Standing == protocol.Running {
+			w.watch(t.Piece, false)
+		}
+	}
+	w.tasks = map[string]*task{}
+}
+
+func (w *worker) watch(piece string, runs bool) {
+	if w.cloud.Watch != nil {
+		w.cloud.Watch(w.rig.NameId, piece, runs)
+	}
+}
+
+// send makes a report.
+func (w *worker) send(ctx context.Context, c *transport.Client, r protocol.Report) (status int, leader string, reply protocol.ReportReply) {
 	ctx, cancel := context.WithTimeout(ctx, answerIn)
 	defer cancel()
-	c := transport.NewClient(addr, 0, limits.MaxBodyBytes)
-	m, err := c.Do(ctx, "POST", "/v1/report", protocol.Encode(r))
+	body := protocol.Encode(r)
+	if after, ok := w.cloud.copied(w.rig.NameId); ok {
+		time.AfterFunc(after, func() { w.copy(body) })
+	}
+	m, err := c.Do(ctx, "POST", "/v1/report", body)
 	if err != nil {
 		return 0, "", reply
 	}
@@ -123,16 +193,27 @@
 	return m.Status, leader, reply
 }
 
+// copy brings a report again, to every controller; nobody waits for the answers.
+func (w *worker) copy(body []byte) {
+	for _, addr := range w.cloud.Controllers {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), answerIn)
+			defer cancel()
+			c := transport.NewClient(addr, 0, limits.MaxBodyBytes).Over(w.cloud.dialer("copies"))
+			_, _ = c.Do(ctx, "POST", "/v1/report", body)
+		}()
+	}
+}
+
 // take executes an answer, unless its token is old or the session has changed.
-func (w *worker) take(shift uint64, reply protocol.ReportReply) bool {
+func (w *worker) take(shift uint64, reply protocol.ReportReply, sent time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if reply.Baton < w.baton || shift != w.shift {
-		return false
+		return
 	}
-	w.baton = reply.Baton
+	w.baton, w.answered = reply.Baton, sent
 	w.execute(reply.Orders)
-	return true
 }
 
 // report makes a report; the caller has the lock.
@@ -148,13 +229,24 @@
 	for _, k := range keys {
 		t := w.tasks[k]
 		if t.Standing == protocol.Running && time.Now().After(t.ends) {
-			t.Standing, t.Cause = protocol.Ended, protocol.CauseDone
+			w.end(t, protocol.CauseDone)
 		}
 		r.Pieces = append(r.Pieces, t.TaskReport)
 	}
 	return r
 }
 
+// end ends a task that runs; the caller has the lock.
+func (w *worker) end(t *task, cause string) {
+	t.Standing, t.Cause = protocol.Ended, cause
+	if cause == protocol.CauseDone {
+		w.cloud.results.Lock()
+		w.cloud.done[t.Piece] = true
+		w.cloud.results.Unlock()
+	}
+	w.watch(t.Piece, false)
+}
+
 func taskKey(piece string, try uint64) string { return fmt.Sprintf("%s#%d", piece, try) }
 
 // execute carries out orders; the caller has the lock.
@@ -166,7 +258,7 @@
 		case o.Verb == protocol.VerbStart && t == nil:
 			w.tasks[key] = w.begin(o)
 		case o.Verb == protocol.VerbStop && t != nil && t.Standing != protocol.Ended:
-			t.Standing, t.Cause = protocol.Ended, protocol.CauseHalted
+			w.end(t, protocol.CauseHalted)
 		case o.Verb == protocol.VerbForget && t != nil && t.Standing == protocol.Ended:
 			delete(w.tasks, key)
 		}
@@ -179,20 +271,52 @@
 	if !ok {
 		return t
 	}
-	p, ok := w.cloud.State.Get(storage.OpenKey(id))
-	var rec storage.Open
-	if !ok || protocol.Decode(p.Data, &rec) != nil {
+	for _, other := range w.tasks {
+		if other.Piece == o.Piece && other.Standing != protocol.Ended {
+			t.Cause = protocol.CauseBusy
+			return t
+		}
+	}
+	spec, ok := w.cloud.spec(id)
+	if !ok {
+		return t
+	}
+	if w.cloud.Done(o.Piece) {
+		t.Cause = protocol.CauseDone
 		return t
 	}
 	t.Standing, t.Cause = protocol.Running, ""
-	t.ends = time.Now().Add(time.Duration(rec.Spec.ReckonS * float64(time.Second)))
+	t.ends = time.Now().Add(limits.Seconds(spec.ReckonS))
+	w.watch(o.Piece, true)
 	return t
 }
 
+func (c *Cloud) spec(id string) (protocol.Spec, bool) {
+	if c.Spec != nil {
+		return c.Spec(id)
+	}
+	p, ok := c.State.Get(storage.OpenKey(id))
+	var rec storage.Open
+	if !ok || protocol.Decode(p.Data, &rec) != nil {
+		return rec.Spec, false
+	}
+	return rec.Spec, true
+}
+
 func (w *worker) handle(req *transport.Message, rsp *transport.Responder) {
+	w.mu.Lock()
+	hung := time.Until(w.hungTill)
+	w.mu.Unlock()
+	if hung > 0 {
+		time.AfterFunc(hung, func() { w.handle(req, rsp) })
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.expire()
 	switch {
+	case w.shift == 0: // gone
+		rsp.Respond(404, nil, 0)
 	case req.Path == "/status" && req.Method == "GET":
 		rsp.Respond(200, protocol.Encode(w.report()), 0)
 	case req.Path == "/do" && req.Method == "POST":
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -82,6 +82,13 @@
 	}
 }
 
+// Over makes the store dial another way. It is called before the first use.
+func (s *Store) Over(d transport.Dialer) *Store {
+	s.http.Over(d)
+	s.watch.Over(d)
+	return s
+}
+
 // ForUsers returns a Store over the same connections with the users' share of the rates. It does not wait long for it.
 func (s *Store) ForUsers() *Store {
 	u := *s
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -14,12 +14,27 @@
 // ErrNotSent marks a call of which nothing reached the other side: the connection could not be made.
 var ErrNotSent = errors.New("not sent")
 
+// Dialer makes a connection to an address. A nil one dials TCP.
+type Dialer func(ctx context.Context, addr string) (net.Conn, error)
+
+// Dial makes a connection, within DialTimeout.
+func (d Dialer) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	if d == nil {
+		tcp := net.Dialer{Timeout: limits.DialTimeout, KeepAlive: -1}
+		return tcp.DialContext(ctx, "tcp", addr)
+	}
+	ctx, cancel := context.WithTimeout(ctx, limits.DialTimeout)
+	defer cancel()
+	return d(ctx, addr)
+}
+
 // Client calls one HTTP server over a small set of kept connections.
 type Client struct {
 	addr    string
 	maxBody int
 	idle    chan *outbound
 	sockets *Sockets // or nil
+	dialer  Dialer
 }
 
 type outbound struct {
@@ -46,6 +61,12 @@
 	return c
 }
 
+// Over makes the client dial another way. It is called before the first use.
+func (c *Client) Over(d Dialer) *Client {
+	c.dialer = d
+	return c
+}
+
 // Addr is the server's address.
 func (c *Client) Addr() string { return c.addr }
 
@@ -92,8 +113,7 @@
 	if !c.sockets.make() {
 		return nil, fmt.Errorf("dial %s: %w", c.addr, ErrNoSocket)
 	}
-	d := net.Dialer{Timeout: limits.DialTimeout, KeepAlive: -1}
-	conn, err := d.DialContext(ctx, "tcp", c.addr)
+	conn, err := c.dialer.Dial(ctx, c.addr)
 	if err != nil {
 		c.sockets.hungUp()
 		return nil, fmt.Errorf("dial %s: %w: %w", c.addr, ErrNotSent, err)
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"sync"
 	"time"
 
@@ -19,9 +20,9 @@
 
 // Responder answers one request, once.
 type Responder struct {
-	c  *inbound
-	ec evio.Conn
-	s  *Server
+	c    *inbound
+	wake func()
+	s    *Server
 	// sync is true while the handler runs on the loop: then no wake is needed.
 	sync bool
 	used bool // guarded by c.mu
@@ -83,7 +84,7 @@
 	sync := r.sync
 	c.mu.Unlock()
 	if !sync {
-		r.ec.Wake()
+		r.wake()
 	}
 }
 
@@ -103,6 +104,51 @@
 
 	conns map[evio.Conn]*inbound // owned by the loop, as is
 	fleet int                    // how many of them are of machines
+
+	turn sync.Mutex // instead of the loop, where ServeConn is used
+}
+
+// ServeConn serves one connection until it ends, without evio: for networks in memory. The handler is called by one goroutine at a time, as on the loop.
+func (s *Server) ServeConn(conn net.Conn) {
+	defer conn.Close()
+	c := &inbound{dec: NewRequestDecoder(limits.MaxBodyBytes)}
+	defer func() {
+		s.turn.Lock()
+		defer s.turn.Unlock()
+		if c.fleet {
+			s.fleet--
+		}
+	}()
+	buf := make([]byte, 4096)
+	for {
+		req, err := c.dec.Next()
+		if err != nil {
+			_, _ = conn.Write(AppendResponse(nil, 400, nil, 0, true))
+			return
+		}
+		if req == nil {
+			n, err := conn.Read(buf)
+			if err != nil {
+				return
+			}
+			c.dec.Feed(buf[:n])
+			continue
+		}
+		answered := make(chan struct{})
+		r := &Responder{c: c, wake: func() { close(answered) }, s: s}
+		s.turn.Lock()
+		c.end = req.Close
+		s.Handle(req, r)
+		s.turn.Unlock()
+		<-answered
+		c.mu.Lock()
+		out, end := c.out, c.end
+		c.out, c.done = nil, false
+		c.mu.Unlock()
+		if _, err := conn.Write(out); err != nil || end {
+			return
+		}
+	}
 }
 
 // Run serves until the context ends.
@@ -244,7 +290,7 @@
 			return nil, evio.None
 		}
 		c.busy = true
-		r := &Responder{c: c, ec: ec, s: s, sync: true}
+		r := &Responder{c: c, wake: func() { ec.Wake() }, s: s, sync: true}
 		c.mu.Lock()
 		c.end = req.Close
 		c.mu.Unlock()
