Probes give way to reports: a take-over on small controllers ends again

Each is doubted, and asked directly every two seconds, two calls on a new connection, which is more than their reports. The leader falls behind, answers reports that are over 3 s old with 503, so workers come on yet other connections and are doubted again: 400 to 700 of 1,050 machines doubted and reports 2 to 5 s late for a minute, until the next crash.

Now machines doubted together are given one and a half report intervals, in which their next report proves them; and while reports wait in the mailbox no probe goes out. One doubted machine is asked at once as before.

--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -67,6 +67,7 @@
 	clients int                          // most of these
 	probes  chan struct{}                // probes under way; a take-over asks all machines at once
 	longest time.Duration                // longest wait of a report in the mailbox since the last summary
+	late    atomic.Int64                 // when a report was last taken that had waited for longer than BusyWait, in nanoseconds of the term
 	usage   usage
 }
 
@@ -439,6 +440,9 @@
 				}
 				wait := time.Since(msg.arrived)
 				t.longest = max(t.longest, wait)
+				if wait > limits.BusyWait {
+					t.late.Store(int64(t.now()))
+				}
 				fresh := wait < limits.StaleReport
 				t.step(ctx, scheduler.ReportIn{Report: msg.r, Ref: msg.reply, Entitled: fresh && t.m.Entitled(), Relayed: msg.relayed, Stayed: msg.stayed})
 			case countsMsg:
--- /dev/null
+++ b/internal/coordination/leader/probe_test.go
@@ -0,0 +1,29 @@
+package leader
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"quillshunt/internal/coordination/election"
+	"quillshunt/internal/coordination/scheduler"
+	"quillshunt/internal/limits"
+)
+
+// TestProbesGiveWay: while reports wait in the mailbox, probes do not go out, and that says nothing about their machines.
+func TestProbesGiveWay(t *testing.T) {
+	term := &term{d: &Desk{}, m: election.NewMandate(1, 1, time.Now().Add(time.Hour)), mail: make(chan any, 1), probes: make(chan struct{}, 1),
+		start: time.Now().Add(-time.Minute), log: slog.New(slog.DiscardHandler)}
+	for _, busy := range []bool{true, false} {
+		if busy {
+			term.late.Store(int64(term.now()))
+		} else {
+			term.late.Store(int64(term.now() - 2*limits.BusyFor))
+		}
+		term.probe(context.Background(), scheduler.ProbeOut{Rig: "m-1", Address: "127.0.0.1:1"}) // refused, if it is asked
+		if done := (<-term.mail).(scheduler.ProbeDone); done.Unasked != busy || done.Rig != "m-1" {
+			t.Errorf("busy %v: %+v", busy, done)
+		}
+	}
+}
--- a/internal/coordination/leader/workers.go
+++ b/internal/coordination/leader/workers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"time"
 
 	"quillshunt/internal/coordination/scheduler"
 	"quillshunt/internal/limits"
@@ -39,6 +40,11 @@
 	case <-ctx.Done():
 		return
 	}
+	if late := t.late.Load(); late != 0 && t.now()-time.Duration(late) < limits.BusyFor {
+		// Reports wait. They prove as much, and what waits is late for its worker's lease; a probe can come later.
+		t.post(ctx, scheduler.ProbeDone{Rig: p.Rig, Unasked: true})
+		return
+	}
 	pctx, cancel := context.WithTimeout(ctx, limits.ProbeTimeout)
 	defer cancel()
 	c := transport.NewClient(p.Address, 1, limits.MaxBodyBytes).Within(t.d.sockets).Over(t.d.dialer)
--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -300,8 +300,8 @@
 		s.summary()
 	}
 	s.writeMarks()
-	s.probe()
 	s.dropBroken()
+	s.probe()
 	if s.now >= s.planAt && (s.settled || s.now > s.took+s.stale()) && len(s.types) > 0 {
 		s.planAt = s.now + limits.PlanEvery
 		s.plan()
@@ -352,7 +352,7 @@
 
 // dropBroken returns machines that do not serve: never up, silent, sick.
 func (s *Scheduler) dropBroken() {
-	silent, up, unheard := 0, 0, 0
+	silent, up, unheard, doubted := 0, 0, 0, 0
 	limit := time.Duration(float64(s.lease) * limits.SilentShare)
 	since := func(m *machine) time.Duration { // when it last showed that it hears us
 		if !m.proven {
@@ -369,10 +369,14 @@
 			if s.now > since(m)+s.stale() {
 				silent++
 			}
+			if !m.proven {
+				doubted++
+			}
 		case m.mark != unmarked:
 			unheard++
 		}
 	}
+	s.doubtful = doubted > limits.CrowdLeast && float64(doubted) > limits.DoubtCrowd*float64(up)
 	lost := crowded(unheard, unheard+up)
 	few := float64(unheard) <= max(limits.CrowdLeast, limits.FewUnheard*float64(unheard+up))
 	// Many machines falling silent together is a cut, not a series of deaths: they may come back, sooner than others would boot. Counted are
--- a/internal/coordination/scheduler/model.go
+++ b/internal/coordination/scheduler/model.go
@@ -370,6 +370,7 @@
 	sendSeq  uint64  // of direct commands
 	dirty    bool    // something changed that placement looks at
 	loaded   bool    // all that earlier terms wrote down is known
+	doubtful bool    // so many machines are doubted that there must be a common cause
 	settled  bool    // and all that may run; see settle
 	planAt   time.Duration
 	listAt   time.Duration
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -119,8 +119,13 @@
 	m.proven = ok
 }
 
-// ask seeks the proof by a direct command without orders.
+// ask seeks the proof by a direct command without orders. Where many machines are doubted at once, as after they all had to find their leader again, the next
+// reports on their new connections prove most of them for nothing, while probes of all would keep a small controller from answering reports, and so go on for
+// ever: there a machine is asked only once its next report is overdue as a proof.
 func (s *Scheduler) ask(m *machine) {
+	if m.seen && m.fenced && s.doubtful && s.now < m.doubt+time.Duration(limits.DoubtReports*float64(s.report)) {
+		return
+	}
 	if m.addr != "" && !m.deleting && s.now >= m.probeAt {
 		m.probeAt = s.now + limits.ProbeEvery
 		s.emit(ProbeOut{Rig: m.name, Address: m.addr})
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -904,3 +904,59 @@
 		t.Error("not placed where there is room")
 	}
 }
+
+// TestDoubtedTogether: a machine whose answers may not arrive is asked at once, but not hundreds that come on new connections together: their next reports
+// prove them, and who stays doubted is asked then. Probes of all kept a small controller from answering reports, for minutes.
+func TestDoubtedTogether(t *testing.T) {
+	for _, n := range []int{1, 40} {
+		b := newBed(t, 40)
+		for range 2 {
+			for i := range 40 {
+				b.report(i)
+			}
+			b.now += 2 * time.Second // the probes of the take-over are long over
+		}
+		moved := func(i int) (probes int) { // a report on another connection
+			b.tally++
+			for _, e := range b.step(ReportIn{Entitled: true, Report: &protocol.Report{Rig: b.rig(i), Address: "x:1", Rigkind: "s8", Yard: "a", Shift: 1, Tally: b.tally, Baton: 3}}) {
+				if _, ok := e.(ProbeOut); ok {
+					probes++
+				}
+			}
+			return probes
+		}
+		tick := func() (probes int) {
+			b.now += time.Second
+			for _, e := range b.step(Tick{Entitled: true}) {
+				if _, ok := e.(ProbeOut); ok {
+					probes++
+				}
+			}
+			return probes
+		}
+		early := 0
+		for i := range n {
+			early += moved(i)
+			if i%10 == 9 {
+				early += tick()
+			}
+		}
+		if n == 1 && early != 1 {
+			t.Errorf("one doubted machine is asked %d times at once", early)
+		}
+		if n > 1 && early > n/4 {
+			t.Errorf("%d of %d machines doubted together are asked at once", early, n)
+		}
+		// The others prove themselves; one stays doubted and is asked.
+		for i := range n - 1 {
+			b.report(i)
+		}
+		late := 0
+		for range 4 {
+			late += tick()
+		}
+		if late == 0 {
+			t.Errorf("%d machines: the one that stays doubted is not asked", n)
+		}
+	}
+}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -350,6 +350,13 @@
 	FewMisses  = 2
 	// ProbeEvery is how often such a machine is asked directly.
 	ProbeEvery = 2 * time.Second
+	// DoubtCrowd is the share of machines doubted at once from which on they are given DoubtReports report intervals to prove themselves before they are asked.
+	DoubtCrowd   = 0.05
+	DoubtReports = 1.5
+	// BusyWait is how long a report may have waited in the mailbox that probes still go out beside it, and BusyFor how long that is held to tell of now: reports
+	// and the lease go first.
+	BusyWait = 250 * time.Millisecond
+	BusyFor  = time.Second
 	// ProbeTimeout bounds the two calls of a probe.
 	ProbeTimeout = 1500 * time.Millisecond
 	// DirectTimeout bounds a direct command; a worker answers in milliseconds or not at all.
