--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -925,8 +925,8 @@
 			}
 			return probes
 		}
-		tick := func() (probes int) {
-			b.now += time.Second
+		tick := func(after time.Duration) (probes int) {
+			b.now += after
 			for _, e := range b.step(Tick{Entitled: true}) {
 				if _, ok := e.(ProbeOut); ok {
 					probes++
@@ -938,7 +938,7 @@
 		for i := range n {
 			early += moved(i)
 			if i%10 == 9 {
-				early += tick()
+				early += tick(100 * time.Millisecond)
 			}
 		}
 		if n == 1 && early != 1 {
@@ -953,7 +953,7 @@
 		}
 		late := 0
 		for range 4 {
-			late += tick()
+			late += tick(time.Second)
 		}
 		if late == 0 {
 			t.Errorf("%d machines: the one that stays doubted is not asked", n)
