--- a/cmd/quillshunt/serve.go
+++ b/cmd/quillshunt/serve.go
@@ -20,7 +20,7 @@
 		ctx = context.Background()
 	}
 	log = log.With("node", s.NodeName)
-	debug.SetMemoryLimit(int64(s.Facts.Machine.MemoryMB * limits.HeapShare * (1 << 20)))
+	debug.SetMemoryLimit(limits.HeapLimit(s.Facts.Machine.MemoryMB))
 	debug.SetGCPercent(limits.GCPercent)
 	runtime.GOMAXPROCS(limits.Procs)
 	c, err := controller.New(s, options, nil, log)
--- a/internal/coordination/gateway/thousands_test.go
+++ b/internal/coordination/gateway/thousands_test.go
@@ -8,7 +8,11 @@
 	"net"
 	"net/url"
 	"runtime"
+	"runtime/debug"
+	"runtime/metrics"
 	"runtime/pprof"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,10 +76,22 @@
 	}
 }
 
+// held is what the runtime holds of memory.
+func held() uint64 {
+	s := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+	metrics.Read(s)
+	return s[0].Value.Uint64() - s[1].Value.Uint64()
+}
+
 // TestThousands: two thousand workers at one controller with a backlog of tens of thousands of tasks, all of them coming back at once after a crash of all
 // controllers. Memory, goroutines and threads stay bounded, and all are served.
 func TestThousands(t *testing.T) {
 	const machines, each, jobs, pieces, cpus = 2000, 50, 300, 150, 8
+	const floodUsers, floodEach = 200, 100
+	// Half of what controllers with as many sockets have so far.
+	const memoryMB = 147
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(limits.HeapLimit(memoryMB)))
+	defer debug.SetGCPercent(debug.SetGCPercent(limits.GCPercent))
 	log := slog.New(slog.DiscardHandler)
 	name := func(i int) string { return fmt.Sprintf("m-%06d", i) }
 	typ := protocol.Rigkind{Sku: "s", Vcpus: cpus, RamGb: 64, CacheGb: 50, PullGbPerS: 1, Price: 1, MarketPrice: 1, StartupS: 10, Yards: []string{"a"}}
@@ -129,7 +145,7 @@
 	s := &config.Settings{NodeName: "rig-0", Facts: config.Facts{
 		Teams: []config.Team{{Name: "red", CPUs: 100, CPUsMax: 1e6}}, Workers: config.Workers{ReportS: 5, LeaseS: 27, CancelS: 47},
 		State: config.State{RPS: 1e5, WriteRPS: 1e5, ValueKB: 8, TxnOps: 8}, Cloud: config.Cloud{RPS: 100, ListLagS: 3},
-		Machine: config.MachineLimits{CoreShare: 0.3, MemoryMB: 271, MaxSockets: 2907}}}
+		Machine: config.MachineLimits{CoreShare: 0.3, MemoryMB: memoryMB, MaxSockets: 2907}}}
 	shares := limits.ShareSockets(s.Facts.Machine.MaxSockets, 4)
 	if shares.Machines < machines {
 		t.Fatalf("the sockets carry only %d machines", shares.Machines)
@@ -226,8 +242,44 @@
 		c.conn.Close()
 		dial(c)
 	}
+	// Users come in a flood at the same time. What can't be taken is refused at once, and the memory is that of the settings at most.
+	var taken, refused atomic.Int64
+	var peak atomic.Uint64
+	flooded, stop := context.WithCancel(ctx)
+	var users sync.WaitGroup
+	for u := range floodUsers {
+		users.Go(func() {
+			call := transport.NewClient(addr, 1, limits.MaxBodyBytes)
+			defer call.Close()
+			for i := 0; flooded.Err() == nil && i < floodEach; i++ {
+				body := protocol.Encode(run(fmt.Sprintf("job-%d", 100_000+u*floodEach+i), map[string]any{"Crew": "red", "Vcpus": 1, "Accelerators": 0, "RamGb": 1, "Rigkinds": nil}))
+				cctx, cancel := context.WithTimeout(ctx, limits.SubmitAnswer+time.Second)
+				m, err := call.Do(cctx, "POST", "/v2/runs", body)
+				cancel()
+				switch {
+				case err != nil: // no connection is free
+				case m.Status == 201:
+					taken.Add(1)
+				case m.Status == 503 && m.RetryAfter > 0:
+					refused.Add(1)
+				default:
+					t.Errorf("flood: %d, retry after %d", m.Status, m.RetryAfter)
+				}
+				peak.Store(max(peak.Load(), held()))
+			}
+		})
+	}
 	end = lead(2)
 	settle(2, most)
+	stop()
+	users.Wait()
+	if taken.Load() == 0 {
+		t.Error("nothing of the flood was taken")
+	}
+	if bound := uint64(s.Facts.Machine.MemoryMB * (1 << 20)); peak.Load() > bound {
+		t.Errorf("%d bytes held at the most, the settings allow %d", peak.Load(), bound)
+	}
+	t.Logf("flood: %d taken, %d refused, %d MB held at the most", taken.Load(), refused.Load(), peak.Load()>>20)
 	var m runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&m)
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -447,6 +447,9 @@
 	return max(cancelWithin-WaitOut(lease), cancelWithin/2)
 }
 
+// HeapLimit is the Go runtime's soft limit in bytes, by the memory of the controller's machine.
+func HeapLimit(memoryMB float64) int64 { return int64(memoryMB * HeapShare * (1 << 20)) }
+
 // PledgeLife is how long a controller's pledge to a leader lasts, by the workers' lease.
 func PledgeLife(lease time.Duration) time.Duration {
 	return min(max(time.Duration(float64(lease)*PledgeShare), PledgeMin), PledgeMax)
