--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -237,7 +237,6 @@
 		rsp.Respond(400, nil, 0)
 		return
 	}
-	rsp.Soon()
 	g.Desk.Report(&r, rsp.Before() == 200, func(status int, body []byte) { rsp.Respond(status, body, 0) })
 }
 
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -96,9 +96,6 @@
 
 // Connections and stages.
 const (
-	// AnswerSoon is how long the server's loop waits for an answer that needs no I/O: some times what the leader takes for a report, and too short to be missed by
-	// anybody else on the loop.
-	AnswerSoon = 2 * time.Millisecond
 	// IdleConn closes an inbound connection that has been silent this long. Users
 	// poll every 5 s and workers report more often.
 	IdleConn = 60 * time.Second
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -25,16 +25,7 @@
 	s    *Server
 	// sync is true while the handler runs on the loop: then no wake is needed.
 	sync bool
-	soon chan struct{} // closed by the answer, if it is expected at once
-	used bool          // guarded by c.mu
-}
-
-// Soon tells, while the handler runs on the loop, that the answer comes from another goroutine, but without waiting for I/O. The loop then waits for it, up to
-// AnswerSoon, and writes it itself: to be woken for it costs more system calls than all else about a worker's report.
-func (r *Responder) Soon() {
-	if r.sync {
-		r.soon = make(chan struct{})
-	}
+	used bool // guarded by c.mu
 }
 
 // inbound is what we keep for a connection. The loop owns it but for out and
@@ -92,11 +83,8 @@
 	c.done = true
 	sync := r.sync
 	c.mu.Unlock()
-	switch {
-	case !sync:
+	if !sync {
 		r.wake()
-	case r.soon != nil:
-		close(r.soon)
 	}
 }
 
@@ -117,8 +105,6 @@
 	conns map[evio.Conn]*inbound // owned by the loop, as is
 	fleet int                    // how many of them are of machines
 
-	patience *time.Timer // of the loop
-
 	turn sync.Mutex // instead of the loop, where ServeConn is used
 }
 
@@ -234,23 +220,6 @@
 	return evio.Serve(ev, "tcp://"+s.Addr)
 }
 
-// await waits for an answer that is expected at once.
-func (s *Server) await(r *Responder) {
-	if r.soon == nil {
-		return
-	}
-	if s.patience == nil {
-		s.patience = time.NewTimer(limits.AnswerSoon)
-	} else {
-		s.patience.Reset(limits.AnswerSoon)
-	}
-	select {
-	case <-r.soon:
-		s.patience.Stop()
-	case <-s.patience.C:
-	}
-}
-
 // sweep closes connections that are idle or whose request does not end.
 func (s *Server) sweep() {
 	now := time.Now()
@@ -326,7 +295,6 @@
 		c.end = req.Close
 		c.mu.Unlock()
 		s.Handle(req, r)
-		s.await(r)
 		c.mu.Lock()
 		r.sync = false
 		done := c.done
