--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -960,3 +960,42 @@
 		}
 	}
 }
+
+// TestGreetedHoldsItsLease: a machine that a new leader has greeted, but whose next report it has not taken yet, may go on with its tasks for a whole lease from
+// then. The rebuild does not end before that, or a task of it would be started elsewhere: seen on controllers too busy to take reports in time.
+func TestGreetedHoldsItsLease(t *testing.T) {
+	b := newBed(t, 2)
+	b.report(0)
+	b.job("job-1", "red", "standard", 4, 4, 0)
+	lease := limits.WaitOut(14 * time.Second)
+	starts := func() (n int) {
+		for _, d := range b.direct() {
+			n += verbs(d.Orders, protocol.VerbStart)
+		}
+		return n
+	}
+	b.now = 13 * time.Second
+	greeted := false
+	for _, e := range b.step(ReportIn{Entitled: true, Report: &protocol.Report{Rig: b.rig(1), Address: "x:1", Rigkind: "s8", Yard: "a", Shift: 1, Tally: 9, Baton: 2,
+		Pieces: []protocol.TaskReport{{Piece: "job-1/0", Try: 7, Standing: protocol.Running}}}}) {
+		if r, ok := e.(ReplyOut); ok {
+			greeted = r.OK
+		}
+	}
+	if !greeted {
+		t.Fatal("not greeted")
+	}
+	for end := b.now + lease; b.now < end; {
+		b.now += time.Second
+		if b.now < end {
+			b.report(0)
+			if b.s.settled || starts() > 0 {
+				t.Fatalf("placed at %v, the greeted machine's lease lasts until %v", b.now, end)
+			}
+		}
+	}
+	b.report(0)
+	if !b.s.settled {
+		t.Errorf("not rebuilt although every lease is over")
+	}
+}
--- a/internal/coordination/scheduler/step.go
+++ b/internal/coordination/scheduler/step.go
@@ -445,13 +445,12 @@
 }
 
 // settle ends the time after a take-over in which tasks may run that we have not heard of: each machine that
-// may hold some has reported to us or is gone, or every lease from before is over.
+// may hold some has reported to us or is gone, or its lease from before is over. A machine that we have greeted has had its lease renewed by that: it has
+// the whole of it again, although it has shown us no tasks yet. A leader that is too busy to take its next reports must not forget that.
 func (s *Scheduler) settle() {
-	if s.now < s.took+limits.WaitOut(s.lease) {
-		for _, m := range s.fleet {
-			if !m.fenced && m.mark != unmarked {
-				return
-			}
+	for _, m := range s.fleet {
+		if !m.fenced && m.mark != unmarked && s.now < max(s.took, m.leaseBase)+limits.WaitOut(s.lease) {
+			return
 		}
 	}
 	s.settled, s.dirty = true, true
