--- a/internal/coordination/controller/meetings_test.go
+++ b/internal/coordination/controller/meetings_test.go
@@ -264,6 +264,48 @@
 		time.Sleep(30 * time.Second)
 		s.net.SetLatency(time.Millisecond)
 	}},
+	{"a new leader greets machines late in their lease and hears no more of them, while the cloud deletes nothing", func(s *service) {
+		s.warm(6, func(sp *protocol.Spec) { sp.ReckonS = 60 })
+		lead, before := s.leader(), s.term()
+		all := s.cloud.Machines()
+		for _, m := range all {
+			s.net.Unlisten(m + ":9000") // so that they can't be asked
+		}
+		s.stop(lead)
+		s.reach(all, standin.Hold, standin.Hold)
+		s.noDeletions(true)
+		s.takenOver(before)
+		time.Sleep(4 * time.Second)
+		s.reach(all, standin.Open, standin.Open)
+		time.Sleep(1900 * time.Millisecond) // they find the leader, but their next reports are held
+		s.reach(all, standin.Hold, standin.Hold)
+		time.Sleep(limits.Seconds(leaseS - 3))
+		s.reach(all, standin.Open, standin.Open)
+		s.noDeletions(false)
+		s.start(lead)
+	}},
+	{"answers take about as long as a worker waits for them, while leaders change", func(s *service) {
+		s.warm(6, func(sp *protocol.Spec) { sp.ReckonS = 60 })
+		first := s.term()
+		for i := range 6 {
+			// A report and its answer take 1.6 to 4.8 s together; a worker waits for 4 s, a controller takes a report for fresh for 3 s.
+			for _, m := range s.cloud.Machines() {
+				s.net.SetSlow(m, time.Duration(800+s.r.IntN(1600))*time.Millisecond)
+			}
+			if i%2 == 1 {
+				s.restart(s.leader(), 300*time.Millisecond)
+			}
+			time.Sleep(time.Duration(6+s.r.IntN(8)) * time.Second)
+			for _, m := range s.cloud.Machines() {
+				s.net.SetSlow(m, time.Duration(s.r.IntN(300))*time.Millisecond)
+			}
+			time.Sleep(time.Duration(1+s.r.IntN(6)) * time.Second)
+		}
+		for _, m := range s.cloud.Machines() {
+			s.net.SetSlow(m, 0)
+		}
+		s.met(s.term() > first, "changes of the leader")
+	}},
 	{"leaders change ten times in two minutes, also inside an outage", func(s *service) {
 		s.warm(4, long)
 		first := s.term()
--- a/internal/coordination/controller/service_test.go
+++ b/internal/coordination/controller/service_test.go
@@ -43,7 +43,8 @@
 	starts int
 	seq    int
 	users  sync.WaitGroup
-	asked  int // user requests, and how many of them were answered
+	stuck  bool // the cloud deletes nothing
+	asked  int  // user requests, and how many of them were answered
 	served int
 }
 
@@ -87,7 +88,7 @@
 			controllers[name] = name + ":8080"
 			go standin.Serve(s.net.Listen("state-"+name+":1"), s.state.ServerFor(name, "", s.log))
 		}
-		s.cloud = &standin.Cloud{State: s.state, Controllers: controllers, Log: s.log, Net: s.net, Spec: s.spec, Watch: s.watch,
+		s.cloud = &standin.Cloud{State: s.state, Controllers: controllers, Log: s.log, Net: s.net, Spec: s.spec, Watch: s.watch, Trouble: s.trouble,
 			Times: config.Workers{ReportS: reportS, LeaseS: leaseS},
 			Types: []protocol.Rigkind{{Sku: "c8", Vcpus: capacity, RamGb: 64, CacheGb: 50, PullGbPerS: 1, Price: 1, MarketPrice: 0.4, StartupS: 4, Yards: s.zones}}}
 		s.cloud.Start(ctx)
@@ -231,6 +232,23 @@
 	return j.spec, true
 }
 
+// trouble is the cloud's status in place of an answer, or 0.
+func (s *service) trouble(req *transport.Message) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stuck && req.Path == "/rentals/delete" {
+		return 503
+	}
+	return 0
+}
+
+// noDeletions makes the cloud delete nothing for a while.
+func (s *service) noDeletions(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stuck = on
+}
+
 // watch is told by the workers what begins and ends to run.
 func (s *service) watch(rig, piece string, on bool) {
 	s.mu.Lock()
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -34,6 +34,7 @@
 type Network struct {
 	mu        sync.Mutex
 	latency   time.Duration
+	slow      map[string]time.Duration // what it takes longer from or to a host
 	listeners map[string]*listener
 	cuts      map[[2]string]Cut
 	conns     map[*conn]bool
@@ -42,7 +43,7 @@
 
 // NewNetwork returns a Network without cuts.
 func NewNetwork(latency time.Duration) *Network {
-	return &Network{latency: latency, listeners: map[string]*listener{}, cuts: map[[2]string]Cut{}, conns: map[*conn]bool{}, changed: make(chan struct{})}
+	return &Network{latency: latency, listeners: map[string]*listener{}, cuts: map[[2]string]Cut{}, slow: map[string]time.Duration{}, conns: map[*conn]bool{}, changed: make(chan struct{})}
 }
 
 func host(addr string) string {
@@ -77,12 +78,29 @@
 	n.latency = d
 }
 
+// SetSlow sets how much longer packets from or to a host take from now on.
+func (n *Network) SetSlow(name string, d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.slow[name] = d
+}
+
 // Both cuts both ways between two hosts.
 func (n *Network) Both(a, b string, cut Cut) {
 	n.Set(a, b, cut)
 	n.Set(b, a, cut)
 }
 
+// Unlisten takes no more connections to an address; those that are open go on.
+func (n *Network) Unlisten(addr string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if l := n.listeners[addr]; l != nil {
+		l.close()
+		delete(n.listeners, addr)
+	}
+}
+
 // Down ends a host: its listeners and connections are gone.
 func (n *Network) Down(name string) {
 	n.mu.Lock()
@@ -291,7 +309,7 @@
 		return
 	}
 	c.n.mu.Lock()
-	at := time.Now().Add(c.n.latency)
+	at := time.Now().Add(c.n.latency + c.n.slow[c.local] + c.n.slow[c.remote])
 	c.n.mu.Unlock()
 	p := c.peer
 	p.mu.Lock()
