Renames: leadership, heartbeat, release and the leader's lease, where code was touched

Go names say the field's words for mandate, beat, let and hold. The keys and field names in the state service and the operators' option hold_life stay as they are, so that controllers of both builds can lead one after the other and options files go on working.

--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -22,7 +22,7 @@
 
 // LeadershipOptions are about the leader's hold.
 type LeadershipOptions struct {
-	HoldLife Duration `toml:"hold_life"`
+	LeaderLease Duration `toml:"hold_life"`
 }
 
 // PreemptionOptions are about stopping tasks for others.
@@ -58,7 +58,7 @@
 // DefaultOptions are in force where an operator sets nothing.
 func DefaultOptions() Options {
 	return Options{
-		Leadership: LeadershipOptions{HoldLife: Duration(limits.HoldLife)},
+		Leadership: LeadershipOptions{LeaderLease: Duration(limits.LeaderLease)},
 		Preemption: PreemptionOptions{Slack: Duration(limits.PreemptSlack), RestartWeight: limits.RestartWeight},
 		Fleet: FleetOptions{
 			LongestWait: Duration(limits.PlanHorizon), SlackShare: limits.SlackShare,
@@ -119,7 +119,7 @@
 		return nil
 	}
 	return errors.Join(
-		span("leadership.hold_life", o.Leadership.HoldLife, limits.HoldLifeMin, limits.HoldLifeMax),
+		span("leadership.hold_life", o.Leadership.LeaderLease, limits.LeaderLeaseMin, limits.LeaderLeaseMax),
 		span("preemption.slack", o.Preemption.Slack, 0, time.Hour),
 		between("preemption.restart_weight", o.Preemption.RestartWeight, 0, 1000),
 		between("fleet.max_machines", float64(o.Fleet.MaxMachines), 0, 100_000),
--- a/internal/coordination/controller/controller.go
+++ b/internal/coordination/controller/controller.go
@@ -35,7 +35,7 @@
 	store := storage.New(s.External.State, s.Facts.State).Over(dialer)
 	cloud := leader.NewCloud(s.External.Cloud, s.Facts.Cloud.RPS).Over(dialer)
 	desk := leader.NewDesk(s, options, store, cloud, sockets, log).Over(dialer)
-	elector := election.New(s.NodeName, store, time.Duration(options.Leadership.HoldLife), limits.PledgeLife(limits.Seconds(s.Facts.Workers.LeaseS)), desk.Lead, log)
+	elector := election.New(s.NodeName, store, time.Duration(options.Leadership.LeaderLease), limits.PledgeLife(limits.Seconds(s.Facts.Workers.LeaseS)), desk.Lead, log)
 	desk.OnLost(elector.Lost)
 	peers, err := peer.Dial(s.Members, dialer)
 	if err != nil {
--- a/internal/coordination/election/election.go
+++ b/internal/coordination/election/election.go
@@ -22,34 +22,34 @@
 type Store interface {
 	Get(ctx context.Context, key string) (protocol.Pair, error)
 	Txn(ctx context.Context, t protocol.Txn) (uint64, error)
-	CreateHold(ctx context.Context, life time.Duration) (uint64, error)
+	CreateLease(ctx context.Context, life time.Duration) (uint64, error)
 	Touch(ctx context.Context, tenure uint64) error
 	Watch(ctx context.Context, prefix string, since uint64) (protocol.WatchReply, error)
 	List(ctx context.Context, prefix string, each func(protocol.Pair) error) (uint64, error)
 }
 
-// Mandate is one term of leadership. Its entitlement is read by other goroutines.
-type Mandate struct {
-	Term  uint64
-	Stamp uint64 // of the leader key; guards every write of the term
-	start time.Time
-	until atomic.Int64 // nanoseconds after start, by the hold
-	vowed atomic.Int64 // the same, by pledges and beats
-	ended atomic.Bool  // given up; whatever a late touch says
-	seen  atomic.Uint64
+// Leadership is one term of leadership. Its entitlement is read by other goroutines.
+type Leadership struct {
+	Term        uint64
+	Stamp       uint64 // of the leader key; guards every write of the term
+	start       time.Time
+	until       atomic.Int64 // nanoseconds after start, by the hold
+	pledgedTill atomic.Int64 // the same, by pledges and heartbeats
+	ended       atomic.Bool  // given up; whatever a late touch says
+	seen        atomic.Uint64
 }
 
-// NewMandate returns a mandate that is entitled until the given time.
-func NewMandate(term, stamp uint64, until time.Time) *Mandate {
-	m := &Mandate{Term: term, Stamp: stamp, start: time.Now()}
-	m.vowed.Store(math.MaxInt64)
+// NewLeadership returns a leadership that is entitled until the given time.
+func NewLeadership(term, stamp uint64, until time.Time) *Leadership {
+	m := &Leadership{Term: term, Stamp: stamp, start: time.Now()}
+	m.pledgedTill.Store(math.MaxInt64)
 	m.extend(until)
 	return m
 }
 
-func (m *Mandate) extend(until time.Time) { raise(&m.until, int64(until.Sub(m.start))) }
+func (m *Leadership) extend(until time.Time) { raise(&m.until, int64(until.Sub(m.start))) }
 
-func (m *Mandate) pledge(until time.Time) { raise(&m.vowed, int64(until.Sub(m.start))) }
+func (m *Leadership) pledge(until time.Time) { raise(&m.pledgedTill, int64(until.Sub(m.start))) }
 
 func raise(a *atomic.Int64, to int64) {
 	if to > a.Load() {
@@ -59,15 +59,15 @@
 
 // Entitled tells whether we are surely the leader at this moment. The process may lose its core right after, so
 // whatever follows is also fenced by the term, the stamp, or a name that is never used again.
-func (m *Mandate) Entitled() bool {
-	return !m.ended.Load() && int64(time.Since(m.start)) < min(m.until.Load(), m.vowed.Load())
+func (m *Leadership) Entitled() bool {
+	return !m.ended.Load() && int64(time.Since(m.start)) < min(m.until.Load(), m.pledgedTill.Load())
 }
 
-// Saw notes that the term has taken in all changes of open jobs up to a revision; the next beat says so.
-func (m *Mandate) Saw(rev uint64) { m.seen.Store(rev) }
+// Saw notes that the term has taken in all changes of open jobs up to a revision; the next heartbeat says so.
+func (m *Leadership) Saw(rev uint64) { m.seen.Store(rev) }
 
 // Guard makes a write fail once there is another leader.
-func (m *Mandate) Guard() protocol.Guard {
+func (m *Leadership) Guard() protocol.Guard {
 	return protocol.Guard{Path: storage.KeyLeader, Stamp: m.Stamp}
 }
 
@@ -80,15 +80,15 @@
 	// Size is how many other controllers there are.
 	Size() int
 	// Pledge asks all for their pledge; nonces are the processes that they are taken for. Who does not answer in time is missing.
-	Pledge(ctx context.Context, beat uint64, nonces map[string]uint64) map[string]*peerpb.PledgeReply
+	Pledge(ctx context.Context, heartbeat uint64, nonces map[string]uint64) map[string]*peerpb.PledgeReply
 }
 
-// Elector takes part in elections. Lead is called with each mandate and must return soon after its context ends.
+// Elector takes part in elections. Lead is called with each leadership and must return soon after its context ends.
 type Elector struct {
 	Node  string
 	Store Store
 	Life  time.Duration
-	Lead  func(ctx context.Context, m *Mandate)
+	Lead  func(ctx context.Context, m *Leadership)
 	Peers Others // or nil
 	Log   *slog.Logger
 
@@ -100,7 +100,7 @@
 }
 
 // New returns an Elector with holds and pledges of these lives.
-func New(node string, store Store, life, pledge time.Duration, lead func(context.Context, *Mandate), log *slog.Logger) *Elector {
+func New(node string, store Store, life, pledge time.Duration, lead func(context.Context, *Leadership), log *slog.Logger) *Elector {
 	return &Elector{Node: node, Store: store, Life: life, Lead: lead, Log: log,
 		pledges: pledges{life: pledge, nonce: rand.Uint64()>>1 | 1, start: time.Now()}, lost: make(chan uint64, 1), offer: make(chan uint64, 1)}
 }
@@ -212,7 +212,7 @@
 			}
 			if e.look(ctx, d) {
 				e.Log.Warn("leader not heard of, replacing it", "leader", e.Leader())
-				return win(protocol.Guard{Path: storage.KeyLeader, Stamp: stamp}, protocol.Guard{Path: storage.KeyBeat, Stamp: d.beat})
+				return win(protocol.Guard{Path: storage.KeyLeader, Stamp: stamp}, protocol.Guard{Path: storage.KeyHeartbeat, Stamp: d.heartbeat})
 			}
 		case err := <-changed:
 			if err != nil && !errors.Is(err, storage.ErrGone) {
@@ -240,7 +240,7 @@
 		}
 	}
 	sent := time.Now()
-	tenure, err := e.Store.CreateHold(ctx, e.Life)
+	tenure, err := e.Store.CreateLease(ctx, e.Life)
 	if err != nil {
 		return fmt.Errorf("create hold: %w", err)
 	}
@@ -250,7 +250,7 @@
 		Apply: []protocol.Op{
 			{Write: storage.KeyLeader, Data: protocol.Encode(me), Tenure: tenure},
 			{Write: storage.KeyTerm, Data: protocol.Encode(storage.Term{Term: me.Term})},
-			{Write: storage.KeyBeat, Data: protocol.Encode(storage.Beat{Term: me.Term})},
+			{Write: storage.KeyHeartbeat, Data: protocol.Encode(storage.Heartbeat{Term: me.Term})},
 		},
 	})
 	var conflict *storage.Conflict
@@ -273,16 +273,16 @@
 	case err != nil:
 		return fmt.Errorf("campaign: %w", err)
 	}
-	m := NewMandate(me.Term, rev, sent.Add(limits.Entitled(e.Life)))
+	m := NewLeadership(me.Term, rev, sent.Add(limits.Entitled(e.Life)))
 	if e.pledged() {
-		m.vowed.Store(int64(sent.Add(limits.Entitled(e.pledges.life)).Sub(m.start)))
+		m.pledgedTill.Store(int64(sent.Add(limits.Entitled(e.pledges.life)).Sub(m.start)))
 	}
 	e.lead(ctx, m, tenure)
 	return nil
 }
 
 // lead runs a term: it renews the hold until the hold or the term is over.
-func (e *Elector) lead(ctx context.Context, m *Mandate, tenure uint64) {
+func (e *Elector) lead(ctx context.Context, m *Leadership, tenure uint64) {
 	e.Log.Info("leading", "term", m.Term, "stamp", m.Stamp)
 	e.setLeader(e.Node)
 	ctx, cancel := context.WithCancel(ctx)
@@ -328,7 +328,7 @@
 				// while, nobody else can have led, and the term goes on.
 				m.extend(sent.Add(limits.Entitled(e.Life)))
 				renewed = time.Now()
-			case errors.Is(err, storage.ErrNoHold):
+			case errors.Is(err, storage.ErrNoLease):
 				return
 			default:
 				e.Log.Debug("touch", "term", m.Term, "err", err)
@@ -340,9 +340,9 @@
 	}
 }
 
-// handOver gives the term up if another controller reaches the state service while we do not. The order matters: the mandate
+// handOver gives the term up if another controller reaches the state service while we do not. The order matters: the leadership
 // ends for good before the successor hears of it.
-func (e *Elector) handOver(ctx context.Context, m *Mandate) bool {
+func (e *Elector) handOver(ctx context.Context, m *Leadership) bool {
 	node := e.Peers.Able(ctx)
 	if node == "" {
 		return false // an outage for all: go on for the rest of the hold
--- a/internal/coordination/election/election_test.go
+++ b/internal/coordination/election/election_test.go
@@ -94,7 +94,7 @@
 	status, r := f.s.Txn(t)
 	switch {
 	case status == 400:
-		return 0, storage.ErrNoHold
+		return 0, storage.ErrNoLease
 	case status == 409:
 		return 0, &storage.Conflict{Failed: r.Failed}
 	}
@@ -117,11 +117,11 @@
 	return l.Ledger, nil
 }
 
-func (f *flaky) CreateHold(ctx context.Context, life time.Duration) (uint64, error) {
+func (f *flaky) CreateLease(ctx context.Context, life time.Duration) (uint64, error) {
 	if err := f.enter(ctx); err != nil {
 		return 0, err
 	}
-	return f.s.CreateHold(life), nil
+	return f.s.CreateLease(life), nil
 }
 
 func (f *flaky) Touch(ctx context.Context, id uint64) error {
@@ -129,7 +129,7 @@
 		return err
 	}
 	if !f.s.Touch(id) {
-		return storage.ErrNoHold
+		return storage.ErrNoLease
 	}
 	return nil
 }
@@ -158,7 +158,7 @@
 	cancel context.CancelFunc
 	done   chan struct{}
 	mu     sync.Mutex
-	leads  *Mandate
+	leads  *Leadership
 	e      *Elector
 	others *[]*node
 	life   time.Duration
@@ -193,11 +193,11 @@
 
 func (n *node) Size() int { return len(*n.others) - 1 }
 
-func (n *node) Pledge(_ context.Context, beat uint64, nonces map[string]uint64) map[string]*peerpb.PledgeReply {
+func (n *node) Pledge(_ context.Context, heartbeat uint64, nonces map[string]uint64) map[string]*peerpb.PledgeReply {
 	out := map[string]*peerpb.PledgeReply{}
 	for _, o := range *n.others {
 		if e := n.reach(o); e != nil {
-			a := e.Pledge(beat, nonces[o.name])
+			a := e.Pledge(heartbeat, nonces[o.name])
 			if !n.store.loses() { // else the answer is lost
 				out[o.name] = a
 			}
@@ -243,7 +243,7 @@
 func (n *node) start(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel, n.done = cancel, make(chan struct{})
-	e := New(n.name, n.store, n.life, n.pledge(), func(ctx context.Context, m *Mandate) {
+	e := New(n.name, n.store, n.life, n.pledge(), func(ctx context.Context, m *Leadership) {
 		n.mu.Lock()
 		n.leads = m
 		n.mu.Unlock()
@@ -272,7 +272,7 @@
 	<-n.done
 }
 
-func (n *node) entitled() *Mandate {
+func (n *node) entitled() *Leadership {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.leads != nil && n.leads.Entitled() {
@@ -285,7 +285,7 @@
 func newNodes(s *standin.State, size int, seed uint64) []*node {
 	nodes := make([]*node, size)
 	for i := range nodes {
-		nodes[i] = &node{name: fmt.Sprintf("rig-%d", i), store: &flaky{s: s, r: rand.New(rand.NewPCG(seed, uint64(i)))}, others: &nodes, life: limits.HoldLife}
+		nodes[i] = &node{name: fmt.Sprintf("rig-%d", i), store: &flaky{s: s, r: rand.New(rand.NewPCG(seed, uint64(i)))}, others: &nodes, life: limits.LeaderLease}
 	}
 	return nodes
 }
@@ -325,7 +325,7 @@
 				n.start(t)
 			}
 			var top uint64
-			terms := map[uint64]*Mandate{}
+			terms := map[uint64]*Leadership{}
 			check := func() {
 				var who []string
 				for _, n := range nodes {
@@ -392,7 +392,7 @@
 				n.store.mu.Unlock()
 				n.sever(time.Time{})
 			}
-			run(2 * limits.HoldLife)
+			run(2 * limits.LeaderLease)
 			led := false
 			for _, n := range nodes {
 				led = led || n.entitled() != nil
@@ -412,7 +412,7 @@
 func TestRestartTakesOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := standin.NewState()
-		n := &node{name: "rig-0", store: &flaky{s: s, r: rand.New(rand.NewPCG(1, 1))}, others: &[]*node{}, life: limits.HoldLife}
+		n := &node{name: "rig-0", store: &flaky{s: s, r: rand.New(rand.NewPCG(1, 1))}, others: &[]*node{}, life: limits.LeaderLease}
 		n.start(t)
 		time.Sleep(3 * time.Second)
 		first := n.entitled()
@@ -440,7 +440,7 @@
 		nodes[1].start(t)
 		time.Sleep(3 * time.Second)
 		s.SetDown(true)
-		time.Sleep(limits.HoldLife / 2)
+		time.Sleep(limits.LeaderLease / 2)
 		if nodes[0].entitled() == nil {
 			t.Fatal("gave up in an outage for all")
 		}
@@ -448,7 +448,7 @@
 		time.Sleep(5 * time.Second)
 		nodes[0].refuse(time.Now().Add(time.Hour))
 		old := nodes[0].entitled()
-		time.Sleep(limits.HoldLife / 2)
+		time.Sleep(limits.LeaderLease / 2)
 		if old == nil || old.Entitled() {
 			t.Fatal("still entitled after handing over")
 		}
@@ -462,7 +462,7 @@
 }
 
 // TestCutLeader: a leader that is cut off from the state service and the other controllers, but not from its workers, stops being entitled, and another
-// leads long before the end of its hold. One that is cut off from the others alone goes on by its beats.
+// leads long before the end of its hold. One that is cut off from the others alone goes on by its heartbeats.
 func TestCutLeader(t *testing.T) {
 	for i := range 12 {
 		alone, phase := i%2 == 0, time.Duration(i/2)*limits.WatchHold/6 // wherever the others' watches of the leader key end by themselves
@@ -561,9 +561,9 @@
 func TestOwnPledge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := standin.NewState()
-		var lead atomic.Pointer[Mandate]
+		var lead atomic.Pointer[Leadership]
 		n := &flaky{s: s, r: rand.New(rand.NewPCG(5, 1))}
-		e := New("rig-0", n, limits.HoldLife, limits.PledgeMin, func(ctx context.Context, given *Mandate) {
+		e := New("rig-0", n, limits.LeaderLease, limits.PledgeMin, func(ctx context.Context, given *Leadership) {
 			lead.Store(given)
 			<-ctx.Done()
 		}, slog.New(slog.DiscardHandler))
@@ -629,7 +629,7 @@
 
 // TestMargins: our entitlement ends before the hold can, and others' leases are waited out for longer than they can last, whatever the clocks do.
 func TestMargins(t *testing.T) {
-	for _, d := range []time.Duration{limits.HoldLifeMin, 14 * time.Second, limits.HoldLifeMax} {
+	for _, d := range []time.Duration{limits.LeaderLeaseMin, 14 * time.Second, limits.LeaderLeaseMax} {
 		drift := time.Duration(float64(d) * limits.DriftShare)
 		if limits.Entitled(d) >= d-2*drift || limits.WaitOut(d) <= d+2*drift {
 			t.Errorf("%v: entitled %v, waited out %v", d, limits.Entitled(d), limits.WaitOut(d))
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -420,7 +420,7 @@
 // does not see to that: if the state service refuses the leader alone and then everybody, it goes on by pledges and hears nothing of the
 // cancellation until cancel_s is long over. So one of these must hold, after the record was there:
 //   - the leader says that it knows, and was entitled then. No other was, and later ones read the record;
-//   - the leader has written a beat that covers the record. Such a write succeeds only while no later term has begun;
+//   - the leader has written a heartbeat that covers the record. Such a write succeeds only while no later term has begun;
 //   - there is no leader key. Its hold is over, so no leader is entitled, and the next one reads the record.
 func (g *Gateway) confirm(ctx context.Context, id string, p protocol.Pair) bool {
 	known := g.Desk.Confirm(ctx, id, p.Stamp, p.Data) || g.Peers.Confirm(ctx, g.Leader(), id, p.Stamp, p.Data) || g.covered(ctx, p.Stamp)
@@ -431,12 +431,12 @@
 }
 
 func (g *Gateway) covered(ctx context.Context, stamp uint64) bool {
-	p, err := g.Store.Get(ctx, storage.KeyBeat)
+	p, err := g.Store.Get(ctx, storage.KeyHeartbeat)
 	if err != nil {
 		return false
 	}
-	var beat storage.Beat
-	if p.Stamp != 0 && protocol.Decode(p.Data, &beat) == nil && beat.Seen >= stamp {
+	var heartbeat storage.Heartbeat
+	if p.Stamp != 0 && protocol.Decode(p.Data, &heartbeat) == nil && heartbeat.Seen >= stamp {
 		return true
 	}
 	p, err = g.Store.Get(ctx, storage.KeyLeader)
--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -198,14 +198,14 @@
 }
 
 // TestUnconfirmed: nobody is told that a job is cancelled while a leader may be entitled that does not know: not by the cancellation, nor by a poll or a
-// repeated submission. It is told once the leader's beat covers the record, or there is no leader.
+// repeated submission. It is told once the leader's heartbeat covers the record, or there is no leader.
 func TestUnconfirmed(t *testing.T) {
 	for _, how := range []string{"beat", "no leader"} {
 		f := newFront(t)
-		hold := f.state.CreateHold(time.Hour)
+		hold := f.state.CreateLease(time.Hour)
 		f.state.Txn(protocol.Txn{Apply: []protocol.Op{
 			{Write: storage.KeyLeader, Tenure: hold, Data: protocol.Encode(storage.Leader{Node: "rig-9", Term: 1})},
-			{Write: storage.KeyBeat, Data: protocol.Encode(storage.Beat{Term: 1})}}})
+			{Write: storage.KeyHeartbeat, Data: protocol.Encode(storage.Heartbeat{Term: 1})}}})
 		requests := []struct {
 			method, target string
 			body           any
@@ -223,14 +223,14 @@
 		}
 		ask(503, "")
 		p, _ := f.state.Get(storage.OpenKey("job-1"))
-		beat := storage.Beat{Term: 1, Seq: 1, Seen: p.Stamp - 1}
-		f.state.Txn(protocol.Txn{Apply: []protocol.Op{{Write: storage.KeyBeat, Data: protocol.Encode(beat)}}})
+		heartbeat := storage.Heartbeat{Term: 1, Seq: 1, Seen: p.Stamp - 1}
+		f.state.Txn(protocol.Txn{Apply: []protocol.Op{{Write: storage.KeyHeartbeat, Data: protocol.Encode(heartbeat)}}})
 		ask(503, "")
 		if how == "beat" {
-			beat.Seen = p.Stamp
-			f.state.Txn(protocol.Txn{Apply: []protocol.Op{{Write: storage.KeyBeat, Data: protocol.Encode(beat)}}})
+			heartbeat.Seen = p.Stamp
+			f.state.Txn(protocol.Txn{Apply: []protocol.Op{{Write: storage.KeyHeartbeat, Data: protocol.Encode(heartbeat)}}})
 		} else {
-			f.state.EndHold(hold)
+			f.state.EndLease(hold)
 		}
 		ask(200, protocol.Aborted)
 		f.state.SetDown(true)
--- a/internal/coordination/gateway/thousands_test.go
+++ b/internal/coordination/gateway/thousands_test.go
@@ -170,7 +170,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			desk.Lead(tctx, election.NewMandate(term, stamp, time.Now().Add(time.Hour)))
+			desk.Lead(tctx, election.NewLeadership(term, stamp, time.Now().Add(time.Hour)))
 		}()
 		return func() { over(); <-done }
 	}
--- a/internal/coordination/leader/leader.go
+++ b/internal/coordination/leader/leader.go
@@ -55,7 +55,7 @@
 // term is one term's actor.
 type term struct {
 	d       *Desk
-	m       *election.Mandate
+	m       *election.Leadership
 	mail    chan any
 	start   time.Time
 	sched   *scheduler.Scheduler
@@ -217,7 +217,7 @@
 }
 
 // Lead runs a term until its context ends.
-func (d *Desk) Lead(ctx context.Context, m *election.Mandate) {
+func (d *Desk) Lead(ctx context.Context, m *election.Leadership) {
 	f := &d.settings.Facts
 	shares := limits.ShareSockets(f.Machine.MaxSockets, len(d.settings.Members))
 	t := &term{
--- a/internal/coordination/leader/probe_test.go
+++ b/internal/coordination/leader/probe_test.go
@@ -13,7 +13,7 @@
 
 // TestProbesGiveWay: while reports wait in the mailbox, probes do not go out, and that says nothing about their machines.
 func TestProbesGiveWay(t *testing.T) {
-	term := &term{d: &Desk{}, m: election.NewMandate(1, 1, time.Now().Add(time.Hour)), mail: make(chan any, 1), probes: make(chan struct{}, 1),
+	term := &term{d: &Desk{}, m: election.NewLeadership(1, 1, time.Now().Add(time.Hour)), mail: make(chan any, 1), probes: make(chan struct{}, 1),
 		start: time.Now().Add(-time.Minute), log: slog.New(slog.DiscardHandler)}
 	for _, busy := range []bool{true, false} {
 		if busy {
--- a/internal/coordination/peer/peer.go
+++ b/internal/coordination/peer/peer.go
@@ -43,7 +43,7 @@
 	// Leader is the name of the leader as far as known, or "".
 	Leader() string
 	// Pledge is asked by the leader.
-	Pledge(beat, nonce uint64) *peerpb.PledgeReply
+	Pledge(heartbeat, nonce uint64) *peerpb.PledgeReply
 }
 
 // Server answers other controllers.
@@ -112,7 +112,7 @@
 
 // Pledge implements the service.
 func (s *Server) Pledge(_ context.Context, r *peerpb.PledgeRequest) (*peerpb.PledgeReply, error) {
-	return s.candidate.Pledge(r.GetBeat(), r.GetNonce()), nil
+	return s.candidate.Pledge(r.GetHeartbeat(), r.GetNonce()), nil
 }
 
 // Confirm implements the service. A controller that does not lead passes the request on once: the sender may not reach the leader itself.
@@ -266,13 +266,13 @@
 func (p *Peers) Size() int { return len(p.conns) }
 
 // Pledge asks all controllers for their pledge to the leader here.
-func (p *Peers) Pledge(ctx context.Context, beat uint64, nonces map[string]uint64) map[string]*peerpb.PledgeReply {
+func (p *Peers) Pledge(ctx context.Context, heartbeat uint64, nonces map[string]uint64) map[string]*peerpb.PledgeReply {
 	type answer struct {
 		name  string
 		reply *peerpb.PledgeReply
 	}
 	got := askAll(ctx, p, limits.PledgeTimeout, func(ctx context.Context, name string, c peerpb.PeerClient) (answer, error) {
-		r, err := c.Pledge(ctx, &peerpb.PledgeRequest{Beat: beat, Nonce: nonces[name]})
+		r, err := c.Pledge(ctx, &peerpb.PledgeRequest{Heartbeat: heartbeat, Nonce: nonces[name]})
 		return answer{name, r}, err
 	})
 	out := map[string]*peerpb.PledgeReply{}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -56,7 +56,7 @@
 	// that fire in steps of some milliseconds.
 	LeaseMargin = 500 * time.Millisecond
 	// HoldMargin is taken off our own entitlement, for the same reason.
-	HoldMargin = 500 * time.Millisecond
+	LeaderLeaseMargin = 500 * time.Millisecond
 )
 
 // Waits for answers.
@@ -145,14 +145,14 @@
 
 // Leadership.
 const (
-	// HoldLife is the life of the leader's hold. With the workers' lease it has to outlast an outage of the state
+	// LeaderLease is the life of the leader's hold. With the workers' lease it has to outlast an outage of the state
 	// service. A long one costs little: a crashed leader is back under its own name and takes over long before, and one
 	// that alone is refused hands over. Only a leader whose machine is lost for good is replaced this much later.
-	HoldLife = 60 * time.Second
-	// HoldLifeMin and HoldLifeMax bound what an operator may set: below, a slow answer of the state service costs the
+	LeaderLease = 60 * time.Second
+	// LeaderLeaseMin and LeaderLeaseMax bound what an operator may set: below, a slow answer of the state service costs the
 	// leadership; the state service takes no more than the upper bound.
-	HoldLifeMin = 5 * time.Second
-	HoldLifeMax = 600 * time.Second
+	LeaderLeaseMin = 5 * time.Second
+	LeaderLeaseMax = 600 * time.Second
 	// TouchEvery is how often the hold is renewed: often enough that an outage
 	// starts with nearly the whole hold left.
 	TouchEvery = 2 * time.Second
@@ -438,7 +438,7 @@
 
 // Entitled is how long, by our clock, a hold of life d is surely ours from the moment its touch was sent.
 func Entitled(d time.Duration) time.Duration {
-	return d - time.Duration(float64(d)*2*DriftShare) - HoldMargin
+	return d - time.Duration(float64(d)*2*DriftShare) - LeaderLeaseMargin
 }
 
 // CancelLast is how long after a cancellation a machine that still has the job's tasks may get an answer to a report: its lease then ends within
--- a/internal/protocol/state.go
+++ b/internal/protocol/state.go
@@ -43,10 +43,10 @@
 }
 
 // HoldRequest asks for a lease.
-type HoldRequest struct{ LifeMs int64 }
+type LeaseRequest struct{ LifeMs int64 }
 
 // HoldReply answers it.
-type HoldReply struct{ Tenure uint64 }
+type LeaseReply struct{ Tenure uint64 }
 
 // Change is an entry of a watch.
 type Change struct {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -193,8 +193,8 @@
 	return l
 }
 
-// CreateHold makes a hold.
-func (s *State) CreateHold(life time.Duration) uint64 {
+// CreateLease makes a hold.
+func (s *State) CreateLease(life time.Duration) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
@@ -216,8 +216,8 @@
 	return ok
 }
 
-// EndHold ends a hold at once.
-func (s *State) EndHold(id uint64) {
+// EndLease ends a hold at once.
+func (s *State) EndLease(id uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, ok := s.holds[id]; ok {
@@ -303,12 +303,12 @@
 		status, r := s.Txn(t)
 		rsp.Respond(status, protocol.Encode(r), 0)
 	case path == "/holds":
-		var h protocol.HoldRequest
+		var h protocol.LeaseRequest
 		if err := protocol.Decode(req.Body, &h); err != nil || h.LifeMs < 100 {
 			rsp.Respond(400, nil, 0)
 			return
 		}
-		rsp.Respond(200, protocol.Encode(protocol.HoldReply{Tenure: s.CreateHold(time.Duration(h.LifeMs) * time.Millisecond)}), 0)
+		rsp.Respond(200, protocol.Encode(protocol.LeaseReply{Tenure: s.CreateLease(time.Duration(h.LifeMs) * time.Millisecond)}), 0)
 	case strings.HasPrefix(path, "/holds/"):
 		id, err := strconv.ParseUint(strings.TrimSuffix(path[len("/holds/"):], "/touch"), 10, 64)
 		if err != nil {
@@ -316,7 +316,7 @@
 			return
 		}
 		if req.Method == "DELETE" {
-			s.EndHold(id)
+			s.EndLease(id)
 		} else if !s.Touch(id) {
 			rsp.Respond(404, nil, 0)
 			return
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -14,15 +14,15 @@
 
 // Keys of the state service.
 const (
-	KeyLeader  = "leader"
-	KeyTerm    = "term"
-	KeyBeat    = "beat"
-	KeyTypes   = "types"
-	PrefixLet  = "let/"
-	PrefixOpen = "open/"
-	PrefixFin  = "fin/"
-	PrefixHire = "hire/"
-	PrefixUp   = "up/"
+	KeyLeader     = "leader"
+	KeyTerm       = "term"
+	KeyHeartbeat  = "beat"
+	KeyTypes      = "types"
+	PrefixRelease = "let/"
+	PrefixOpen    = "open/"
+	PrefixFin     = "fin/"
+	PrefixHire    = "hire/"
+	PrefixUp      = "up/"
 )
 
 // OpenKey is where a job that is not over is kept.
@@ -34,8 +34,8 @@
 // FinKey is where a chunk of a job's finished tasks is kept.
 func FinKey(id string, base int) string { return fmt.Sprintf("%s%s/%d", PrefixFin, id, base) }
 
-// LetKey is where a controller notes that it has let go of a leader.
-func LetKey(node string) string { return PrefixLet + node }
+// ReleaseKey is where a controller notes that it has let go of a leader.
+func ReleaseKey(node string) string { return PrefixRelease + node }
 
 // ParseFinKey splits such a key.
 func ParseFinKey(key string) (id string, base int, ok bool) {
@@ -67,15 +67,17 @@
 // Term is the highest term so far.
 type Term struct{ Term uint64 }
 
-// Beat is written by a leader that too few others pledge to, and when it has heard of a new process of another.
-type Beat struct {
+// Heartbeat is written by a leader that too few others pledge to, and when it has heard of a new process of another.
+type Heartbeat struct {
 	Term uint64
 	Seq  uint64
 	Seen uint64 // the term has taken in all changes of open jobs up to this revision
 }
 
-// Let is a controller's word that it pledges no more to a leader whose last beat has that stamp, or an earlier one.
-type Let struct{ Beat uint64 }
+// Release is a controller's word that it pledges no more to a leader whose last heartbeat has that stamp, or an earlier one.
+type Release struct {
+	Heartbeat uint64 `cbor:"Beat"`
+}
 
 // Open is a job that is not over.
 type Open struct {
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -27,7 +27,7 @@
 	// ErrUnclear: there was no answer; the request may have been carried out, or may still be.
 	ErrUnclear = errors.New("state service did not answer")
 	// ErrNoHold: the hold is over.
-	ErrNoHold = errors.New("no such hold")
+	ErrNoLease = errors.New("no such hold")
 	// ErrGone: the watch began too long ago; the keys must be read again.
 	ErrGone = errors.New("changes no longer kept")
 	// ErrBadRequest: the service held the request to be malformed.
@@ -257,20 +257,20 @@
 		// The one well-formed transaction that is rejected is one whose hold is over.
 		for _, op := range t.Apply {
 			if op.Tenure != 0 {
-				return 0, fmt.Errorf("txn: %w", ErrNoHold)
+				return 0, fmt.Errorf("txn: %w", ErrNoLease)
 			}
 		}
 	}
 	return 0, fmt.Errorf("%w: txn: status %d", ErrBadRequest, m.Status)
 }
 
-// CreateHold makes a hold. Holds and their renewals do not wait for the shared rate.
-func (s *Store) CreateHold(ctx context.Context, life time.Duration) (uint64, error) {
-	m, err := s.call(ctx, "POST", "/holds", protocol.Encode(protocol.HoldRequest{LifeMs: life.Milliseconds()}))
+// CreateLease makes a hold. Holds and their renewals do not wait for the shared rate.
+func (s *Store) CreateLease(ctx context.Context, life time.Duration) (uint64, error) {
+	m, err := s.call(ctx, "POST", "/holds", protocol.Encode(protocol.LeaseRequest{LifeMs: life.Milliseconds()}))
 	if err != nil {
 		return 0, err
 	}
-	var r protocol.HoldReply
+	var r protocol.LeaseReply
 	if m.Status != 200 {
 		return 0, fmt.Errorf("%w: hold: status %d", ErrBadRequest, m.Status)
 	}
@@ -290,13 +290,13 @@
 	case 200:
 		return nil
 	case 404:
-		return ErrNoHold
+		return ErrNoLease
 	}
 	return fmt.Errorf("%w: touch: status %d", ErrBadRequest, m.Status)
 }
 
-// EndHold ends a hold at once, which removes the keys attached to it.
-func (s *Store) EndHold(ctx context.Context, tenure uint64) error {
+// EndLease ends a hold at once, which removes the keys attached to it.
+func (s *Store) EndLease(ctx context.Context, tenure uint64) error {
 	_, err := s.call(ctx, "DELETE", "/holds/"+strconv.FormatUint(tenure, 10), nil)
 	return err
 }
