A controller cut off for some seconds ends users' connections, instead of calling itself unhealthy

Now the node stays in service, but a user whose tries go on over an open connection comes to another one.

--- a/internal/coordination/controller/service_test.go
+++ b/internal/coordination/controller/service_test.go
@@ -342,6 +342,14 @@
 	return m.Status, st.Standing
 }
 
+// sendsAway tells whether a controller refuses a question and ends the connection, so that the user's next try comes to another.
+func (s *service) sendsAway(node string, j *job) bool {
+	ctx, cancel := context.WithTimeout(s.ctx, 2*time.Second)
+	defer cancel()
+	m, err := transport.NewClient(node+":8080", 0, limits.MaxBodyBytes).Over(s.net.Dialer("users")).Do(ctx, "GET", "/v2/runs/"+j.spec.NameId, nil)
+	return err == nil && m.Status == 503 && m.RetryAfter > 0 && m.Close
+}
+
 // hear takes what a user was told about a job, and checks it against what was told before.
 func (s *service) hear(j *job, status int, standing string, sent time.Time) {
 	s.mu.Lock()
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -146,7 +146,13 @@
 		}
 		after := 0
 		if status == 503 {
-			after = limits.ComeBack(g.Store.Failing())
+			failing := g.Store.Failing()
+			after = limits.ComeBack(failing)
+			if failing > limits.AloneAfter {
+				// Perhaps only we are cut off, from the other controllers as well, so that we stay in service. The user's next try should not
+				// come here again only because the connection is still open.
+				rsp.HangUp()
+			}
 		}
 		rsp.Respond(status, b, after)
 		g.Log.Debug("user answered", "path", req.Path, "status", status, "after", time.Since(arrived))
@@ -159,7 +165,7 @@
 }
 
 // health is 503 while we alone do not reach the state service: then users are better served by another node. In an outage for all it stays
-// 200, as it would help nobody if all nodes were taken out. A node that hears of no other either is taken to be the one that is cut off.
+// 200, as it would help nobody if all nodes were taken out; a node that hears of no other either cannot tell which it is.
 func (g *Gateway) health() int {
 	if g.Store.Failing() < limits.AloneAfter {
 		g.alone.Store(false)
@@ -168,8 +174,7 @@
 	if g.asking.CompareAndSwap(false, true) {
 		go func() {
 			defer g.asking.Store(false)
-			able, heard := g.Peers.AnyAble(g.ctx)
-			g.alone.Store(able != "" || (!heard && g.Peers.Size() > 0))
+			g.alone.Store(g.Peers.Able(g.ctx) != "")
 			// Nobody may call while we are out of service, so look for ourselves whether it is over.
 			_, _ = g.Store.Get(g.ctx, storage.KeyTerm)
 		}()
--- a/internal/coordination/peer/peer.go
+++ b/internal/coordination/peer/peer.go
@@ -233,12 +233,6 @@
 
 // Able returns the name of a controller that reaches the state service, or "".
 func (p *Peers) Able(ctx context.Context) string {
-	name, _ := p.AnyAble(ctx)
-	return name
-}
-
-// AnyAble returns the name of a controller that reaches the state service, or "", and whether any controller answered.
-func (p *Peers) AnyAble(ctx context.Context) (name string, heard bool) {
 	able := askAll(ctx, p, limits.AbleTimeout, func(ctx context.Context, name string, c peerpb.PeerClient) (string, error) {
 		r, err := c.Able(ctx, &peerpb.AbleRequest{})
 		if err != nil || !r.GetAble() {
@@ -248,11 +242,10 @@
 	})
 	for name := range able {
 		if name != "" {
-			return name, true
+			return name
 		}
-		heard = true
 	}
-	return "", heard
+	return ""
 }
 
 // Close hangs up.
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -59,9 +59,7 @@
 		return true
 	}
 	if r.s.MaxFleet > 0 && r.s.fleet >= r.s.MaxFleet {
-		r.c.mu.Lock()
-		r.c.end = true
-		r.c.mu.Unlock()
+		r.HangUp()
 		return false
 	}
 	r.c.fleet = true
@@ -69,6 +67,13 @@
 	return true
 }
 
+// HangUp ends the connection with the answer.
+func (r *Responder) HangUp() {
+	r.c.mu.Lock()
+	r.c.end = true
+	r.c.mu.Unlock()
+}
+
 // Respond answers the request.
 func (r *Responder) Respond(status int, body []byte, retryAfter int) {
 	c := r.c
