--- a/internal/coordination/scheduler/bench_test.go
+++ b/internal/coordination/scheduler/bench_test.go
@@ -167,3 +167,36 @@
 	s.Step(Tick{Entitled: true}, time.Second)
 	return s
 }
+
+// TestReportAllocations guards the leader's cost of the commonest event, a report that brings nothing new, on a fleet with a backlog. Allocations repeat exactly,
+// times don't; the bound is what it takes now, with a few to spare.
+func TestReportAllocations(t *testing.T) {
+	const reportAllocs = 14
+	b := newBed(t, 50)
+	for i := range 50 {
+		b.report(i)
+	}
+	for i := range 100 {
+		b.job(fmt.Sprintf("job-%d", i), "red", "standard", 1000, 2, 0)
+	}
+	tasks := make([][]protocol.TaskReport, 50)
+	for range 3 { // the fleet is filled
+		for i := range 50 {
+			for _, o := range b.report(i, tasks[i]...) {
+				if o.Verb == protocol.VerbStart {
+					tasks[i] = append(tasks[i], protocol.TaskReport{Piece: o.Piece, Try: o.Try, Standing: protocol.Running})
+				}
+			}
+		}
+		b.now += time.Second
+	}
+	i := 0
+	got := testing.AllocsPerRun(500, func() {
+		b.report(i%50, tasks[i%50]...)
+		i++
+	})
+	if got > reportAllocs {
+		t.Errorf("%v allocations a report, want at most %d", got, reportAllocs)
+	}
+	t.Logf("%v allocations", got)
+}
