Gangs, and limits of the state service that will be lowered

Need: jobs whose tasks run at the same time or not at all (Shape ensemble), and a state service whose limits fall at an unknown moment (state.next).

- A gang is one object in the scheduler with explicit states; all its tasks get seats in one pass or none, starts go out once room for all is confirmed, stops go to all at once ahead of other direct commands, and the next attempt begins when the last task is surely gone.
- The settings' limits are the lower of now and next, decided in one place when they are read.
Records of finished tasks that are larger than a chunk is now are replaced piece by piece; a cancelled job's record is shortened where it would not fit any more; what the final transaction can't take is removed after it.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -67,19 +67,53 @@
 	Times   float64 `json:"times"`
 }
 
-// Workers are the times that workers keep.
+// Workers are the times that workers keep. A deployment without the two times of gangs has no gangs.
 type Workers struct {
-	ReportS float64 `json:"report_s"`
-	LeaseS  float64 `json:"lease_s"`
-	CancelS float64 `json:"cancel_s"`
+	ReportS   float64  `json:"report_s"`
+	LeaseS    float64  `json:"lease_s"`
+	CancelS   float64  `json:"cancel_s"`
+	GangWaitS *float64 `json:"gang_wait_s"` // how long a gang's task waits for the others
+	GangPeerS *float64 `json:"gang_peer_s"` // how long the other tasks take to notice that one is gone or was told to stop
 }
 
+// Gangs tells whether the workers of the deployment know gangs.
+func (w *Workers) Gangs() bool { return w.GangWaitS != nil && w.GangPeerS != nil }
+
 // State are the limits of the state service.
 type State struct {
-	RPS      float64 `json:"rps"`
-	WriteRPS float64 `json:"write_rps"`
-	ValueKB  float64 `json:"value_kb"`
-	TxnOps   int     `json:"txn_ops"`
+	RPS      float64    `json:"rps"`
+	WriteRPS float64    `json:"write_rps"`
+	ValueKB  float64    `json:"value_kb"`
+	TxnOps   int        `json:"txn_ops"`
+	Next     *NextState `json:"next"`
+}
+
+// NextState are the limits that the state service will have from an unknown moment on. What is missing stays as it is.
+type NextState struct {
+	RPS      *float64 `json:"rps"`
+	WriteRPS *float64 `json:"write_rps"`
+	ValueKB  *float64 `json:"value_kb"`
+	TxnOps   *int     `json:"txn_ops"`
+}
+
+// Lowest returns the limits that hold both now and after the announced change: for each limit the lower one. All requests keep to these from
+// the start, so that the moment of the change does not matter.
+func (s State) Lowest() State {
+	if s.Next == nil {
+		return s
+	}
+	lower(&s.RPS, s.Next.RPS)
+	lower(&s.WriteRPS, s.Next.WriteRPS)
+	lower(&s.ValueKB, s.Next.ValueKB)
+	lower(&s.TxnOps, s.Next.TxnOps)
+	s.Next = nil
+	return s
+}
+
+func lower[T int | float64](limit, next *T) {
+	if next != nil {
+		*limit = min(*limit, *next)
+	}
 }
 
 // Cloud are the limits of the cloud.
@@ -117,6 +151,7 @@
 	if err := s.check(); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	s.Facts.State = s.Facts.State.Lowest()
 	return &s, nil
 }
 
@@ -133,46 +168,107 @@
 	return out
 }
 
-func (s *Settings) check() error {
-	text := func(field, v string) error {
-		if v == "" {
-			return fmt.Errorf("%s: missing", field)
-		}
-		return nil
+func present(field, v string) error {
+	if v == "" {
+		return fmt.Errorf("%s: missing", field)
 	}
-	addr := func(field, v string) error {
-		if _, err := netip.ParseAddrPort(v); err != nil {
-			return fmt.Errorf("%s: %q is not an address like 10.0.0.1:8080", field, v)
-		}
-		return nil
+	return nil
+}
+
+func address(field, v string) error {
+	if _, err := netip.ParseAddrPort(v); err != nil {
+		return fmt.Errorf("%s: %q is not an address like 10.0.0.1:8080", field, v)
 	}
-	pos := func(field string, v float64) error {
-		if !(v > 0) || math.IsInf(v, 0) {
-			return fmt.Errorf("%s: must be above 0, got %v", field, v)
-		}
-		return nil
+	return nil
+}
+
+func positive(field string, v float64) error {
+	if !(v > 0) || math.IsInf(v, 0) {
+		return fmt.Errorf("%s: must be above 0, got %v", field, v)
+	}
+	return nil
+}
+
+func (w *Workers) check() error {
+	errs := []error{
+		positive("facts.workers.report_s", w.ReportS),
+		positive("facts.workers.lease_s", w.LeaseS),
+		positive("facts.workers.cancel_s", w.CancelS),
+	}
+	if w.GangWaitS != nil || w.GangPeerS != nil {
+		errs = append(errs, positiveIfPresent("facts.workers.gang_wait_s", w.GangWaitS), positiveIfPresent("facts.workers.gang_peer_s", w.GangPeerS))
 	}
+	return first(errs)
+}
+
+func positiveIfPresent(field string, v *float64) error {
+	if v == nil {
+		return fmt.Errorf("%s: missing; the two times of gangs are given together or not at all", field)
+	}
+	return positive(field, *v)
+}
+
+func (s *State) check() error {
 	errs := []error{
-		text("node_name", s.NodeName),
-		addr("client_listen", s.ClientListen),
-		addr("peer_bind", s.PeerBind),
-		addr("external.cloud", s.External.Cloud),
-		addr("external.state", s.External.State),
-		pos("facts.workers.report_s", s.Facts.Workers.ReportS),
-		pos("facts.workers.lease_s", s.Facts.Workers.LeaseS),
-		pos("facts.workers.cancel_s", s.Facts.Workers.CancelS),
-		pos("facts.state.rps", s.Facts.State.RPS),
-		pos("facts.state.write_rps", s.Facts.State.WriteRPS),
-		pos("facts.state.value_kb", s.Facts.State.ValueKB),
-		pos("facts.cloud.rps", s.Facts.Cloud.RPS),
+		positive("facts.state.rps", s.RPS),
+		positive("facts.state.write_rps", s.WriteRPS),
+		valueSize("facts.state.value_kb", s.ValueKB),
+		transactionSize("facts.state.txn_ops", s.TxnOps),
+	}
+	if n := s.Next; n != nil {
+		if n.RPS != nil {
+			errs = append(errs, positive("facts.state.next.rps", *n.RPS))
+		}
+		if n.WriteRPS != nil {
+			errs = append(errs, positive("facts.state.next.write_rps", *n.WriteRPS))
+		}
+		if n.ValueKB != nil {
+			errs = append(errs, valueSize("facts.state.next.value_kb", *n.ValueKB))
+		}
+		if n.TxnOps != nil {
+			errs = append(errs, transactionSize("facts.state.next.txn_ops", *n.TxnOps))
+		}
+	}
+	return first(errs)
+}
+
+func valueSize(field string, kb float64) error {
+	if !(kb >= limits.ValueLeastKB) || math.IsInf(kb, 0) {
+		return fmt.Errorf("%s: must be at least %v, got %v", field, limits.ValueLeastKB, kb)
 	}
+	return nil
+}
+
+func transactionSize(field string, ops int) error {
+	if ops < limits.TxnOpsLeast {
+		return fmt.Errorf("%s: must be at least %d, got %d", field, limits.TxnOpsLeast, ops)
+	}
+	return nil
+}
+
+// first returns the first error that is one.
+func first(errs []error) error {
 	for _, err := range errs {
 		if err != nil {
 			return err
 		}
 	}
-	if s.Facts.State.TxnOps < 4 {
-		return fmt.Errorf("facts.state.txn_ops: must be at least 4, got %d", s.Facts.State.TxnOps)
+	return nil
+}
+
+func (s *Settings) check() error {
+	errs := []error{
+		present("node_name", s.NodeName),
+		address("client_listen", s.ClientListen),
+		address("peer_bind", s.PeerBind),
+		address("external.cloud", s.External.Cloud),
+		address("external.state", s.External.State),
+		s.Facts.Workers.check(),
+		s.Facts.State.check(),
+		positive("facts.cloud.rps", s.Facts.Cloud.RPS),
+	}
+	if err := first(errs); err != nil {
+		return err
 	}
 	if !(s.Facts.Machine.MemoryMB >= limits.MemoryLeastMB) {
 		return fmt.Errorf("facts.machine_limits.memory_mb: must be at least %v, got %v", limits.MemoryLeastMB, s.Facts.Machine.MemoryMB)
@@ -188,14 +284,14 @@
 	}
 	names := map[string]bool{s.NodeName: true}
 	for i, m := range s.Members {
-		if err := text(fmt.Sprintf("members[%d].node_name", i), m.NodeName); err != nil {
+		if err := present(fmt.Sprintf("members[%d].node_name", i), m.NodeName); err != nil {
 			return err
 		}
 		if names[m.NodeName] {
 			return fmt.Errorf("members[%d].node_name: %q appears twice", i, m.NodeName)
 		}
 		names[m.NodeName] = true
-		if err := addr(fmt.Sprintf("members[%d].address", i), m.Address); err != nil {
+		if err := address(fmt.Sprintf("members[%d].address", i), m.Address); err != nil {
 			return err
 		}
 	}
@@ -204,7 +300,7 @@
 	}
 	teams := map[string]bool{}
 	for i, t := range s.Facts.Teams {
-		if err := text(fmt.Sprintf("facts.teams[%d].name", i), t.Name); err != nil {
+		if err := present(fmt.Sprintf("facts.teams[%d].name", i), t.Name); err != nil {
 			return err
 		}
 		if teams[t.Name] {
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -121,16 +121,16 @@
 			g.Log.Debug("user answered", "path", req.Path, "status", status, "after", time.Since(arrived))
 		}()
 	default:
-		refuseUser(action, id, req.Body, rsp)
+		g.refuseUser(action, id, req.Body, rsp)
 	}
 }
 
 // refuseUser answers a request for which the stage has no room.
-func refuseUser(action action, id string, body []byte, rsp *transport.Responder) {
+func (g *Gateway) refuseUser(action action, id string, body []byte, rsp *transport.Responder) {
 	switch {
 	case action != submit && !protocol.ValidJobID(id):
 		rsp.Respond(404, nil, 0)
-	case action == submit && malformed(body):
+	case action == submit && g.malformed(body):
 		rsp.Respond(400, nil, 0)
 	default:
 		rsp.Respond(503, nil, limits.RetryAfter)
@@ -172,8 +172,20 @@
 	return status
 }
 
-func malformed(body []byte) bool {
-	_, err := protocol.ParseSpec(body)
+// parse reads a submission. Where the workers know no gangs, there is no such shape.
+func (g *Gateway) parse(body []byte) (*protocol.Spec, error) {
+	spec, err := protocol.ParseSpec(body)
+	if err != nil {
+		return nil, fmt.Errorf("submission: %w", err)
+	}
+	if spec.Gang() && !g.Settings.Facts.Workers.Gangs() {
+		return nil, fmt.Errorf("%w: Shape: %s is not known to the workers here", protocol.ErrInvalid, spec.Shape)
+	}
+	return spec, nil
+}
+
+func (g *Gateway) malformed(body []byte) bool {
+	_, err := g.parse(body)
 	return err != nil
 }
 
@@ -283,7 +295,7 @@
 
 // submit accepts a job: the answer is given only after the record is known to be written.
 func (g *Gateway) submit(ctx context.Context, body []byte) (int, any) {
-	spec, err := protocol.ParseSpec(body)
+	spec, err := g.parse(body)
 	if err != nil {
 		return 400, problem{Error: err.Error()}
 	}
@@ -295,19 +307,11 @@
 		return g.retryLater(errors.New("machine types not known yet"))
 	}
 	if why := g.refusal(spec, *types); why != "" {
-		// A job that was accepted stays accepted, even if the types have changed since.
-		st, known, err := g.standing(ctx, spec.ID)
-		if err != nil {
-			return g.retryLater(err)
-		}
-		if known {
-			return 200, st
-		}
-		return 422, problem{Error: why}
+		return g.refuseUnlessKnown(ctx, spec.ID, 422, why)
 	}
 	rec := storage.Open{Spec: *spec, AtMs: time.Now().UnixMilli()}
 	if !storage.Fits(rec, g.Settings.Facts.State.ValueKB) {
-		return 400, problem{Error: "too long"}
+		return g.refuseUnlessKnown(ctx, spec.ID, 400, "too long")
 	}
 	txn := protocol.Txn{
 		Conditions: []protocol.Condition{{Key: storage.OpenKey(spec.ID)}, {Key: storage.FinalKey(spec.ID)}},
@@ -336,12 +340,24 @@
 	return g.retryLater(err)
 }
 
+// refuseUnlessKnown refuses a submission. A job that was accepted stays accepted, even if machine types or limits have changed since.
+func (g *Gateway) refuseUnlessKnown(ctx context.Context, id string, status int, why string) (int, any) {
+	st, known, err := g.standing(ctx, id)
+	if err != nil {
+		return g.retryLater(err)
+	}
+	if known {
+		return 200, st
+	}
+	return status, problem{Error: why}
+}
+
 // refusal says why a job can never run, or "".
 func (g *Gateway) refusal(spec *protocol.Spec, types []protocol.MachineType) string {
 	for _, t := range g.Settings.Facts.Teams {
 		if t.Name == spec.Team {
 			if !scheduler.Runnable(spec, types, t.CPUsMax, t.GPUsMax) {
-				return "no allowed machine type holds a task, or the team's limit is below one task"
+				return "no allowed machine type holds a task, or the team's limit is below one task, or below all tasks of a gang"
 			}
 			return ""
 		}
@@ -499,7 +515,7 @@
 			return g.cancelled(ctx, id, p)
 		}
 		o.Cancelled, o.CancelMs = true, time.Now().UnixMilli()
-		data := protocol.Encode(o)
+		data := protocol.Encode(o.Shortened(g.Settings.Facts.State.ValueKB))
 		rev, err := g.Store.Txn(ctx, protocol.Txn{
 			Conditions: []protocol.Condition{{Key: storage.OpenKey(id), Version: p.Version}},
 			Ops:        []protocol.Op{{Put: storage.OpenKey(id), Value: data}},
--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -412,9 +412,13 @@
 		case quiet(m) && (!crowd || s.now > since(m)+limits.CrowdLeases*limits.WaitOut(s.lease)):
 			s.remove(m, "silent")
 		case m.sick():
-			s.remove(m, "fails its tasks")
+			if !s.gangsSave(m) {
+				s.remove(m, "fails its tasks")
+			}
 		case m.slow():
-			s.remove(m, "slow")
+			if !s.gangsSave(m) {
+				s.remove(m, "slow")
+			}
 		case m.notice && len(m.bindings) == 0 && s.durable(m):
 			s.remove(m, "spot notice")
 		default:
--- a/internal/coordination/scheduler/inspect.go
+++ b/internal/coordination/scheduler/inspect.go
@@ -104,7 +104,10 @@
 	case j.cancelled:
 		add("cancelled; it is closed once its tasks are gone")
 		return out
-	case j.free() == 0:
+	case j.gang != nil && j.gang.state != gangWaiting:
+		add("a gang, %s", j.gang.state)
+	}
+	if j.free() == 0 {
 		return out
 	}
 	if !s.recovered {
@@ -113,7 +116,7 @@
 	if s.now < j.resume {
 		add("failed on %d machines with no success between; tried again in %v", len(j.failOn), (j.resume - s.now).Round(time.Second))
 	}
-	if !j.team.fits(j.need) {
+	if !j.teamAllows() {
 		add("team %s uses %v of at most %v CPUs", j.spec.Team, j.team.used.cpu, j.team.cfg.CPUsMax)
 	}
 	usable, allowed, room := 0, 0, 0
@@ -130,6 +133,9 @@
 			room++
 		}
 	}
+	if j.gang != nil {
+		add("a gang, %s: its %d tasks start together or not at all", j.gang.state, j.spec.Tasks)
+	}
 	add("%d machines in use, %d of them allowed for it, %d of these with room", usable, allowed, room)
 	for i, other := range s.claims() {
 		if other == j {
--- a/internal/coordination/scheduler/model.go
+++ b/internal/coordination/scheduler/model.go
@@ -48,6 +48,7 @@
 	assigned phase = iota // ours alone: no order has left yet
 	sent                  // a start is on its way, or was lost
 	fetching
+	gathering // of a gang: has its image and waits for the others
 	running
 	saving
 )
@@ -68,6 +69,9 @@
 	runAt    time.Duration // when it was first seen running
 	stop     bool
 	stopWhy  string
+
+	committed bool // of a gang: room for all its tasks is confirmed, so the start may go out
+	abrupt    bool // to be ended without saving
 }
 
 // exit is an ended task that its machine still lists.
@@ -87,6 +91,7 @@
 	wroteAt  time.Duration
 	since    time.Duration // when it was first left for later
 	hurry    bool          // a machine that has results of it is to go
+	covers   int           // the written record tells of tasks up to this chunk
 }
 
 // due is a time that a job should meet, by its completion or by the start of its tasks.
@@ -102,6 +107,7 @@
 
 type job struct {
 	id         string
+	gang       *gang // nil if its tasks are independent
 	spec       protocol.Spec
 	priority   protocol.Priority
 	team       *team
@@ -124,6 +130,8 @@
 	cursor    int
 	bound     map[int]*binding
 	chunks    []chunk
+	leftover  []string    // keys of records of finished tasks that are no chunks of this term; see finLoaded
+	cleanup   []string    // keys to be removed after the final record
 	stops     map[int]int // how often a task was stopped by us
 
 	runSum   float64
@@ -135,7 +143,27 @@
 	pressAgain time.Duration // it looks for tasks to stop not before; see Scheduler.pressAgain
 }
 
-func (j *job) free() int { return j.spec.Tasks - j.doneCount - len(j.bound) }
+// free is how many tasks want a machine now.
+func (j *job) free() int {
+	if j.gang != nil {
+		return j.gang.missing()
+	}
+	return j.spec.Tasks - j.doneCount - len(j.bound)
+}
+
+// needFor is what n of its tasks take.
+func (j *job) needFor(n int) room {
+	k := float64(n)
+	return room{k * j.need.cpu, k * j.need.gpu, k * j.need.ram}
+}
+
+// teamAllows tells whether its team's limit lets a task of it start now; of a gang, all that want to.
+func (j *job) teamAllows() bool {
+	if j.gang != nil {
+		return j.team.fits(j.needFor(j.free()))
+	}
+	return j.team.fits(j.need)
+}
 
 func getBit(b []uint64, i int) bool { return b[i/64]>>(i%64)&1 != 0 }
 func setBit(b []uint64, i int)      { b[i/64] |= 1 << (i % 64) }
@@ -400,6 +428,13 @@
 	inZone         map[string]int // machines in each zone at the last plan
 	todo           []*machine     // with orders that did not go out yet; see dispatch
 	held           int            // of todo, how many were held back by earlier calls
+
+	touchedGangs []*gang    // to be looked at by settleGangs
+	placedGangs  []*gang    // with tasks whose starts wait for commitGangs
+	refills      []*gang    // that lost a task before their start
+	urgent       []*machine // that have to be told of a gang's stop
+	roomChanged  bool       // since the last commitGangs
+	orphans      []orphan
 }
 
 // New returns the scheduler of a term that begins now.
@@ -419,7 +454,7 @@
 		rentals:  map[string]*rental{},
 		pools:    map[pool]*poolState{},
 		writes:   map[uint64]pendingWrite{},
-		pass:     pass{refused: map[request]bool{}}, pressAgain: map[request]time.Duration{},
+		pass:     pass{refused: map[request]bool{}, refusedGangs: map[gangRequest]bool{}}, pressAgain: map[request]time.Duration{},
 		inZone:          map[string]int{},
 		registrationsAt: now - limits.RegisterEvery,
 		probes:          newProbeBudget(cfg.CoreShare),
@@ -485,6 +520,7 @@
 func (s *Scheduler) bind(j *job, idx int, m *machine, try uint64, ph phase) *binding {
 	b := &binding{job: j, index: idx, task: protocol.TaskName(j.id, idx), attempt: try, machine: m, phase: ph, at: s.now}
 	j.bound[idx] = b
+	s.touchGang(j.gang)
 	s.queueCommands(m)
 	setBit(j.busy, idx)
 	m.bindings[b.task] = b
@@ -497,10 +533,14 @@
 // no start of this attempt is on its way, or the session is over, or the machine is gone.
 func (s *Scheduler) unbind(b *binding) {
 	j, m := b.job, b.machine
+	if m.bindings[b.task] != b {
+		return // with its gang, by an earlier step of the same loop
+	}
+	s.lostGangTask(b)
 	delete(j.bound, b.index)
 	clearBit(j.busy, b.index)
 	j.cursor = min(j.cursor, b.index)
-	delete(m.bindings, protocol.TaskName(j.id, b.index))
+	delete(m.bindings, b.task)
 	m.used = m.used.minus(j.need)
 	j.team.used = j.team.used.minus(j.need)
 	if b.stop {
@@ -510,7 +550,7 @@
 		m.used, m.leaving = room{}, room{} // no rounding is carried on
 		m.idleSince = s.now
 	}
-	s.dirty = true
+	s.dirty, s.roomChanged = true, true
 }
 
 // sortedBinds returns a machine's bindings in a fixed order.
--- a/internal/coordination/scheduler/pass_test.go
+++ b/internal/coordination/scheduler/pass_test.go
@@ -40,7 +40,7 @@
 			if m.drain || !s.usable(m) || len(m.bindings)+len(m.exits) >= limits.MaxTasks {
 				continue
 			}
-			if c, ok := s.candidate(j, m, pressing); ok {
+			if c, ok := s.candidate(j, m, pressing, nil); ok {
 				cs = append(cs, c)
 			}
 		}
@@ -48,7 +48,7 @@
 		if best < 0 {
 			return
 		}
-		victims, ok := s.victims(j, &cs[best])
+		victims, ok := s.victims(j, &cs[best], nil)
 		if !ok {
 			return
 		}
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -23,9 +23,11 @@
 	least    room             // none of them needs less of any resource
 	most     room             // no machine has more free room of any resource
 	refused  map[request]bool // requests for which no machine was found in this pass
-	holds    int              // machines that may still be held; see reserve
-	shelves  shelves
-	short    []*machine
+	// refusedGangs are the same of gangs.
+	refusedGangs map[gangRequest]bool
+	holds        int // machines that may still be held; see reserve
+	shelves      shelves
+	short        []*machine
 }
 
 // request is what decides where a task of a job may go, for jobs that ask for nothing particular.
@@ -50,7 +52,7 @@
 	p := &s.pass
 	p.jobs = p.jobs[:0]
 	for _, j := range s.claims() {
-		if j.free() == 0 || j.cancelled || j.over || s.now < j.resume || !j.team.fits(j.need) {
+		if j.free() == 0 || j.cancelled || j.over || s.now < j.resume || !j.teamAllows() {
 			continue
 		}
 		if len(p.jobs) == 0 {
@@ -59,17 +61,29 @@
 		p.least = p.least.least(j.need)
 		p.jobs = append(p.jobs, j)
 	}
-	if len(p.jobs) == 0 {
+	if len(p.jobs) == 0 && len(s.refills) == 0 {
 		return
 	}
 	s.beginPass()
+	s.refillGangs()
 	for _, j := range s.aged {
-		if n := s.behind(j); n > 0 && j.team.fits(j.need) && s.now >= j.resume {
-			s.placeJob(j, n)
-			s.reserve(j)
+		n := s.behind(j)
+		if n <= 0 || !j.teamAllows() || s.now < j.resume {
+			continue
+		}
+		if j.gang != nil {
+			s.placeGang(j)
+			s.reserveGang(j)
+			continue
 		}
+		s.placeJob(j, n)
+		s.reserve(j)
 	}
 	for _, j := range p.jobs {
+		if j.gang != nil {
+			s.placeGang(j)
+			continue
+		}
 		s.placeJob(j, j.free())
 	}
 }
@@ -187,7 +201,7 @@
 func (s *Scheduler) beginPass() {
 	p := &s.pass
 	p.machines, p.roomy, p.most = p.machines[:0], p.roomy[:0], room{}
-	clear(p.refused)
+	p.clearRefused()
 	for _, m := range s.fleet {
 		m.wasHeld, m.heldFor = m.heldFor != nil, nil
 		if m.drain || !s.usable(m) || len(m.bindings)+len(m.exits) >= limits.MaxTasks {
@@ -202,8 +216,17 @@
 	p.holds = (len(p.machines) + limits.HoldShare - 1) / limits.HoldShare
 }
 
+// clearRefused lets requests be tried again for which no machine was found.
+func (p *pass) clearRefused() {
+	clear(p.refused)
+	clear(p.refusedGangs)
+}
+
 // offer notes that a machine has got more free room during the pass.
 func (p *pass) offer(m *machine) {
+	if _, usable := slices.BinarySearchFunc(p.machines, m, byName); !usable {
+		return
+	}
 	p.most = p.most.most(m.freeRoom())
 	if i, ok := slices.BinarySearchFunc(p.roomy, m, byName); !ok {
 		p.roomy = slices.Insert(p.roomy, i, m)
@@ -240,12 +263,17 @@
 			return
 		}
 		m := sh.cs[best].m
-		victims, ok := s.victims(j, &sh.cs[best])
+		victims, ok := s.victims(j, &sh.cs[best], nil)
 		if !ok {
 			return
 		}
+		gangStopped := false
 		for _, v := range victims {
-			s.stopBinding(v, "preempted for "+j.id)
+			s.stopTask(v, "preempted for "+j.id)
+			if v.job.gang != nil {
+				gangStopped = true
+				s.offerGang(v.job)
+			}
 		}
 		m.heldFor = nil
 		borrowed := j.team.borrows()
@@ -254,14 +282,14 @@
 			p.offer(m) // what was stopped may leave more than was asked for
 		}
 		if len(victims) > 0 || borrowed != j.team.borrows() {
-			clear(p.refused) // others may find room, or tasks to stop, that were not there before
+			p.clearRefused() // others may find room, or tasks to stop, that were not there before
 		}
-		if j.spec.SameZone || j.spec.SpreadZones {
+		if j.spec.SameZone || j.spec.SpreadZones || gangStopped {
 			sh = s.candidates(j, pressing) // where the others may go depends on where this one went
 			continue
 		}
 		sh.takeFirst(best)
-		if c, ok := s.candidate(j, m, pressing); ok {
+		if c, ok := s.candidate(j, m, pressing, nil); ok {
 			sh.add(c)
 		}
 	}
@@ -413,18 +441,21 @@
 		from = p.roomy // a request that may stop nothing needs free room
 	}
 	for _, m := range from {
-		if c, ok := s.candidate(j, m, pressing); ok {
+		if c, ok := s.candidate(j, m, pressing, nil); ok {
 			p.shelves.add(c)
 		}
 	}
 	return &p.shelves
 }
 
-// candidate filters and scores one machine.
-func (s *Scheduler) candidate(j *job, m *machine, pressing bool) (c candidate, ok bool) {
-	free := m.freeRoom()
+// candidate filters and scores one machine, as it would stand with the seats that the gang at hand has there already; nil if there are none.
+func (s *Scheduler) candidate(j *job, m *machine, pressing bool, planned *outlook) (c candidate, ok bool) {
+	free, tasks := planned.freeRoom(m), len(m.bindings)+len(m.exits)
+	if planned != nil {
+		tasks += planned.tasks
+	}
 	over := !free.holds(j.need)
-	if over && !pressing || (m.heldFor != nil && m.heldFor != j) || !s.allowed(j, m) || len(m.bindings)+len(m.exits) >= limits.MaxTasks {
+	if over && !pressing || (m.heldFor != nil && m.heldFor != j) || !s.allowed(j, m) || tasks >= limits.MaxTasks {
 		return c, false
 	}
 	c.m = m
@@ -432,7 +463,7 @@
 		// The normal view: the machine without what this request may stop.
 		view := free
 		for _, b := range m.bindings {
-			if s.mayStop(j, b) {
+			if !planned.stops(b) && s.mayStop(j, b) {
 				view = view.plus(b.job.need)
 			}
 		}
@@ -440,10 +471,8 @@
 			return c, false
 		}
 		c.scores[weighOvercommit] = -1
-		for _, b := range m.sortedBinds() {
-			if s.mayStop(j, b) {
-				c.scores[weighCost] -= s.loss(b)
-			}
+		for _, v := range s.stoppable(j, m, planned) {
+			c.scores[weighCost] -= v.loss
 		}
 	}
 	if _, ok := m.images[j.spec.Image]; !ok {
@@ -461,17 +490,12 @@
 }
 
 // victims are the tasks to stop on the chosen machine: the cheapest set that makes room for the request.
-func (s *Scheduler) victims(j *job, c *candidate) ([]*binding, bool) {
+func (s *Scheduler) victims(j *job, c *candidate, planned *outlook) ([]*binding, bool) {
 	if c.scores[weighOvercommit] == 0 {
 		return nil, true
 	}
-	var options []victim
-	for _, b := range c.m.sortedBinds() {
-		if s.mayStop(j, b) {
-			options = append(options, victim{b: b, need: b.job.need, loss: s.loss(b)})
-		}
-	}
-	set := cheapest(options, j.need.minus(c.m.freeRoom()))
+	options := s.stoppable(j, c.m, planned)
+	set := cheapest(options, j.need.minus(planned.freeRoom(c.m)))
 	if set == nil {
 		return nil, false
 	}
@@ -482,6 +506,29 @@
 	return out, true
 }
 
+// stoppable are the tasks on a machine that may be stopped for a job. A gang counts once, with the room of all its tasks there and the loss
+// of all its tasks anywhere, as it is stopped as a whole.
+func (s *Scheduler) stoppable(j *job, m *machine, planned *outlook) []victim {
+	var out []victim
+	gangs := map[*job]int{}
+	for _, b := range m.sortedBinds() {
+		if planned.stops(b) || !s.mayStop(j, b) {
+			continue
+		}
+		if b.job.gang == nil {
+			out = append(out, victim{b: b, need: b.job.need, loss: s.loss(b)})
+			continue
+		}
+		if i, seen := gangs[b.job]; seen {
+			out[i].need = out[i].need.plus(b.job.need)
+			continue
+		}
+		gangs[b.job] = len(out)
+		out = append(out, victim{b: b, need: b.job.need, loss: s.gangLoss(b.job)})
+	}
+	return out
+}
+
 // pressing tells whether waiting for room would break one of the job's times. Only then is room taken at somebody else's cost.
 func (s *Scheduler) pressing(j *job) bool {
 	slack, late := s.slack(j)
@@ -622,7 +669,11 @@
 	return false
 }
 
-// Runnable tells whether a job could ever run: a task fits some allowed type, and its team's limit.
+// Runnable tells whether a job could ever run: a task fits some allowed type, and its team's limit; of a gang, all tasks together.
 func Runnable(spec *protocol.Spec, types []protocol.MachineType, cpusMax, gpusMax float64) bool {
-	return kindFits(spec, types) && spec.CPUs <= cpusMax && spec.Accelerators <= gpusMax
+	atOnce := 1.0
+	if spec.Gang() {
+		atOnce = float64(spec.Tasks)
+	}
+	return kindFits(spec, types) && atOnce*spec.CPUs <= cpusMax+limits.Epsilon && atOnce*spec.Accelerators <= gpusMax+limits.Epsilon
 }
--- a/internal/coordination/scheduler/plan.go
+++ b/internal/coordination/scheduler/plan.go
@@ -85,7 +85,11 @@
 		if s.now < j.resume {
 			continue
 		}
-		s.planJob(j, fresh, may, &offers)
+		zone := ""
+		if j.gang != nil && j.spec.SameZone {
+			zone = s.planZone(j, offers)
+		}
+		s.planJob(j, zone, fresh, may, &offers)
 	}
 	pools := make([]pool, 0, len(fresh))
 	for p := range fresh {
@@ -236,17 +240,43 @@
 	return least
 }
 
-// planJob promises a job's waiting tasks to offers that can start them in time, and adds machines to rent for what is left.
-func (s *Scheduler) planJob(j *job, fresh map[pool]float64, may func(pool) int, all *[]*offer) {
+// planZone chooses the zone in which a gang is planned that must be in one: the one whose machines can take most of its tasks. It returns ""
+// if no machine can take any.
+func (s *Scheduler) planZone(j *job, offers []*offer) string {
+	for _, b := range j.bound {
+		return b.machine.zone
+	}
+	takes := map[string]int{}
+	for _, o := range offers {
+		if s.offerAllowed(j, o) {
+			takes[o.p.zone] += slots(sizeOf(o.typ).minus(room{cpu: o.used}), j.need)
+		}
+	}
+	best, most := "", 0
+	for _, zone := range sortedKeys(takes) {
+		if n := min(takes[zone], j.free()); n > most {
+			best, most = zone, n
+		}
+	}
+	return best
+}
+
+func (s *Scheduler) offerAllowed(j *job, o *offer) bool {
+	return sizeOf(o.typ).holds(j.need) && s.allows(j, o.p.kind, o.p.zone, o.p.spot) && (o.m == nil || !j.avoids(o.m))
+}
+
+// planJob promises a job's waiting tasks to offers that can start them in time, and adds machines to rent for what is left; all in one zone
+// if one is named.
+func (s *Scheduler) planJob(j *job, zone string, fresh map[pool]float64, may func(pool) int, all *[]*offer) {
 	est, n := j.occupies(), j.free()
 	// What the team's limit keeps out needs no machine now.
 	if j.need.cpu > 0 {
 		n = min(n, int((j.team.cfg.CPUsMax-j.team.used.cpu)/j.need.cpu+limits.Epsilon))
 	}
-	if n <= 0 {
+	if n <= 0 || n < j.gangTasks() {
 		return
 	}
-	open := func(p pool) bool { return fresh[p] < float64(may(p)) }
+	open := func(p pool) bool { return fresh[p] < float64(may(p)) && (zone == "" || p.zone == zone) }
 	// What starts before a new machine can be up needs none. What has waited as long already can't wait as long again, or a queue that is
 	// always as long
 	// would never be worked off.
@@ -258,8 +288,7 @@
 		if n == 0 {
 			return
 		}
-		size := sizeOf(o.typ)
-		if !size.holds(j.need) || !s.allows(j, o.p.kind, o.p.zone, o.p.spot) || (o.m != nil && j.avoids(o.m)) {
+		if !s.offerAllowed(j, o) || (zone != "" && o.p.zone != zone) {
 			continue
 		}
 		n -= o.take(j, n, est, within, &carry)
@@ -269,6 +298,9 @@
 			if p, t = s.cheapestPool(j, open); t == nil {
 				return
 			}
+			if j.gang != nil && j.spec.SameZone {
+				zone = p.zone // the first choice holds for the rest
+			}
 		}
 		o := &offer{p: p, typ: t, ready: t.BootS * limits.BootReckon}
 		got := o.take(j, n, est, 0, new(float64))
@@ -321,6 +353,14 @@
 	return k
 }
 
+// gangTasks is how many tasks must be placed together: the missing ones of a gang, or none in particular.
+func (j *job) gangTasks() int {
+	if j.gang == nil {
+		return 0
+	}
+	return j.free()
+}
+
 // slots is how many tasks fit at once.
 func slots(size, need room) int {
 	n := math.Inf(1)
--- a/internal/coordination/scheduler/registration.go
+++ b/internal/coordination/scheduler/registration.go
@@ -95,6 +95,7 @@
 	for _, u := range x.rec.Machines[:p.n] {
 		if m := s.machines[u.Machine]; m != nil && m.registration == registering {
 			m.registration = registered
+			s.roomChanged = true
 			s.queueCommands(m)
 		}
 	}
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -64,7 +64,7 @@
 		s.withdraw(m)
 		s.probeMachine(m)
 	}
-	s.place()
+	s.decide()
 	orders = s.commands(m, r.Sequence, orders)
 	m.todo, m.answered = false, orders
 	s.emit(ReplyOut{Ref: e.Ref, OK: true, Commands: orders})
@@ -208,6 +208,7 @@
 		return
 	}
 	m.directID = 0
+	defer s.queueGangCommands(m)
 	r := e.Report
 	switch {
 	case e.Refused:
@@ -234,6 +235,15 @@
 	}
 }
 
+// queueGangCommands sends the commands of gangs that came up while another direct command was on its way.
+func (s *Scheduler) queueGangCommands(m *machine) {
+	if !m.hasGangCommand() {
+		return
+	}
+	s.queueCommands(m)
+	s.urgent = append(s.urgent, m)
+}
+
 // unclear notes that we cannot tell whether the starts of a direct command have arrived.
 func (m *machine) unclear(id uint64) {
 	for _, b := range m.bindings {
@@ -275,6 +285,7 @@
 // in milliseconds, so more than that means that this controller is behind, and then what is left over goes out in the answers to the
 // next reports.
 func (s *Scheduler) dispatch() {
+	s.dispatchGangStops()
 	if len(s.todo) == 0 || s.directs >= limits.DirectsMost {
 		return
 	}
@@ -300,6 +311,19 @@
 	}
 }
 
+// dispatchGangStops sends the stops of gangs ahead of all else, however many commands are on their way: a gang of which one task is told too
+// late loses the work of all. A machine that takes no direct command now is told in the answer to its next report, or once the command that
+// is on its way is answered.
+func (s *Scheduler) dispatchGangStops() {
+	urgent := s.urgent
+	s.urgent = nil
+	for _, m := range urgent {
+		if m.hasGangStop() && s.reachable(m) {
+			s.send(m, s.commands(m, 0, nil))
+		}
+	}
+}
+
 // sick tells whether a machine should get no more tasks: it has failed several in a row, and not just those of a job that
 // fails everywhere.
 func (m *machine) sick() bool {
@@ -315,7 +339,7 @@
 func (s *Scheduler) clearForNotice(m *machine) {
 	left := (m.noticeEnd - s.now).Seconds()
 	for _, b := range m.sortedBinds() {
-		if b.stop || b.phase == assigned {
+		if m.bindings[b.task] != b || b.stop || b.phase == assigned {
 			continue
 		}
 		need := b.job.estimate()
@@ -324,10 +348,10 @@
 		}
 		if b.job.spec.CheckpointS > 0 {
 			if left < b.job.spec.SaveS+limits.NoticeReports*s.report.Seconds() {
-				s.stopBinding(b, "spot notice")
+				s.stopTask(b, "spot notice")
 			}
 		} else if need > left {
-			s.stopBinding(b, "spot notice")
+			s.stopTask(b, "spot notice")
 		}
 	}
 }
@@ -337,13 +361,12 @@
 // tally is that of the report that is answered, or 0 for a direct command.
 func (s *Scheduler) commands(m *machine, tally uint64, orders []protocol.Command) []protocol.Command {
 	zero := 0.0
-	var held room // by tasks that are on the machine or on their way
+	held := m.held()
 	binds := m.sortedBinds()
 	for _, b := range binds {
 		if b.phase == assigned {
 			continue
 		}
-		held = held.plus(b.job.need)
 		if b.phase == sent && b.unclear && !b.job.cancelled && !b.job.over && tally != 0 {
 			// The same attempt again: without effect if the first start has arrived, or arrives later. With a stop behind it, it
 			// only makes the worker know the attempt. A cancelled job's task is not started even so; removeBroken sees to its machine.
@@ -353,7 +376,7 @@
 		if b.stop && (tally != 0 || !b.stopSent) {
 			b.stopSent = true
 			o := protocol.Command{Verb: protocol.CommandStop, Task: b.task, Attempt: b.attempt, GraceS: &zero}
-			if b.job.spec.CheckpointS > 0 && !b.job.cancelled && b.stopWhy != "done elsewhere" {
+			if b.job.spec.CheckpointS > 0 && !b.job.cancelled && !b.abrupt && b.stopWhy != "done elsewhere" {
 				grace := b.job.spec.SaveS + limits.StashMargin.Seconds()
 				o.GraceS = &grace
 			}
@@ -373,10 +396,13 @@
 		if m.registration != registered {
 			continue // a successor would not know that tasks can be here
 		}
-		if !size.holds(held.plus(b.job.need)) {
+		switch {
+		case b.committed: // its room is kept, see commitGangs
+		case b.job.gang != nil || !size.holds(held.plus(b.job.need)):
 			continue // its room is not confirmed yet
+		default:
+			held = held.plus(b.job.need)
 		}
-		held = held.plus(b.job.need)
 		b.phase, b.at = sent, s.now
 		if tally == 0 {
 			b.direct = s.sendSeq + 1 // see send
--- a/internal/coordination/scheduler/step.go
+++ b/internal/coordination/scheduler/step.go
@@ -20,6 +20,7 @@
 	writeRentalRemove
 	writeRegistration
 	writeRegistrationRemove
+	writeCleanup
 )
 
 // pendingWrite is what a WriteOut was for.
@@ -55,6 +56,7 @@
 	case Loaded:
 		s.note(false, "rebuilding", "jobs", len(s.jobs), "machines", len(s.machines), "hires", len(s.rentals))
 		s.loaded, s.typesAt, s.listAt = true, 0, 0
+		s.removeOrphans()
 		s.tick(true)
 	case ReportIn:
 		s.reportIn(e)
@@ -82,11 +84,19 @@
 	if s.loaded && !s.recovered {
 		s.endRecovery()
 	}
-	s.place()
+	s.decide()
 	s.dispatch()
 	return s.out
 }
 
+// decide brings gangs in line with what is known, places what wants room and lets gangs start whose room is confirmed.
+func (s *Scheduler) decide() {
+	s.settleGangs()
+	s.place()
+	s.settleGangs()
+	s.commitGangs()
+}
+
 func (s *Scheduler) emit(e Effect) { s.out = append(s.out, e) }
 
 func (s *Scheduler) note(warn bool, msg string, args ...any) {
@@ -100,7 +110,7 @@
 func (s *Scheduler) write(p pendingWrite, guards []protocol.Condition, ops []protocol.Op) {
 	s.writeSeq++
 	s.writes[s.writeSeq] = p
-	s.emit(WriteOut{ID: s.writeSeq, Bulk: p.kind == writeChunk, Conditions: guards, Ops: ops})
+	s.emit(WriteOut{ID: s.writeSeq, Bulk: p.kind == writeChunk || p.kind == writeCleanup, Conditions: guards, Ops: ops})
 }
 
 // Jobs.
@@ -124,6 +134,7 @@
 			bound: map[int]*binding{}, stops: map[int]int{}, failOn: map[string]bool{},
 			chunks: make([]chunk, (e.Rec.Spec.Tasks+s.chunkLen-1)/s.chunkLen),
 		}
+		j.gang = newGang(j)
 		j.dues = s.dues(j)
 		s.jobs[e.ID] = j
 		at := sort.Search(len(s.queue), func(i int) bool {
@@ -193,15 +204,21 @@
 	}
 	b.stop, b.stopWhy = true, why
 	s.queueCommands(b.machine)
+	if b.job.gang != nil {
+		s.urgent = append(s.urgent, b.machine)
+	}
 	b.machine.leaving = b.machine.leaving.plus(b.job.need)
 	s.note(false, "stopping", "job", b.job.id, "task", b.index, "attempt", b.attempt, "machine", b.machine.name, "reason", why)
 }
 
 // finish writes a job's final record once nothing of it is left to do.
 func (s *Scheduler) finish(j *job) {
-	if j.over || j.finishing || len(j.bound) > 0 || (!j.cancelled && j.doneCount < j.spec.Tasks) {
+	if j.over || j.finishing || (!j.cancelled && j.doneCount < j.spec.Tasks) {
 		return
 	}
+	if len(j.bound) > 0 && (j.gang == nil || j.cancelled) {
+		return // of a gang that is done, tasks that were not heard of yet have completed as well
+	}
 	if j.cancelled && !s.recovered {
 		return // tasks of it that we have not heard of yet still count against its team's limit
 	}
@@ -217,10 +234,13 @@
 		if j.chunks[i].writing {
 			return // its answer comes back here
 		}
-		if j.chunks[i].version != 0 && len(ops) < s.cfg.State.TxnOps {
-			ops = append(ops, protocol.Op{Delete: storage.FinKey(j.id, i*s.chunkLen)})
-		}
 	}
+	keys := s.finishedKeys(j)
+	now := min(len(keys), s.cfg.State.TxnOps-len(ops))
+	for _, key := range keys[:now] {
+		ops = append(ops, protocol.Op{Delete: key})
+	}
+	j.cleanup = keys[now:]
 	j.finishing = true
 	s.write(pendingWrite{kind: writeFinal, job: j},
 		[]protocol.Condition{{Key: storage.OpenKey(j.id), Version: j.version}}, ops)
@@ -250,26 +270,13 @@
 	}
 }
 
-func (s *Scheduler) finLoaded(e FinishedLoaded) {
-	j := s.jobs[e.ID]
-	if j == nil {
-		return
-	}
-	_ = e.Rec.Decode(func(i int) {
-		if i >= 0 && i < j.spec.Tasks && !getBit(j.done, i) {
-			setBit(j.done, i)
-			j.doneCount++
-		}
-	})
-	if e.Rec.Base%s.chunkLen == 0 && e.Rec.Base/s.chunkLen < len(j.chunks) {
-		j.chunks[e.Rec.Base/s.chunkLen].version = e.Version
-	}
-}
-
 // taskDone notes a finished task. The worker is told to forget it only once this is durable.
 func (s *Scheduler) taskDone(j *job, idx int) (n int, ver uint64) {
 	n = idx / s.chunkLen
 	c := &j.chunks[n]
+	if j.gang != nil {
+		s.gangDone(j) // its tasks complete together
+	}
 	if !getBit(j.done, idx) {
 		setBit(j.done, idx)
 		j.doneCount++
@@ -298,7 +305,7 @@
 		}
 		for i := range j.chunks {
 			c := &j.chunks[i]
-			if c.durable == c.sequence || c.writing || (!c.hurry && s.now < c.wroteAt+limits.FlushEvery) {
+			if c.durable == c.sequence || c.writing || j.coversUnwritten(i) || (!c.hurry && s.now < c.wroteAt+limits.FlushEvery) {
 				continue
 			}
 			if c.since == 0 {
@@ -366,6 +373,7 @@
 		if e.OK {
 			s.note(false, "job over", "job", p.job.id, "cancelled", p.job.cancelled, "tasks", p.job.spec.Tasks)
 			s.closeJob(p.job)
+			s.removeFinished(p.job.id, p.job.cleanup)
 		}
 		// Otherwise it was cancelled meanwhile: the watch brings the new record, and finish runs again.
 	case writeRental:
@@ -393,12 +401,16 @@
 			n++
 		}
 	}
+	if j.gang != nil && n < j.spec.Tasks {
+		n = 0 // it runs as a whole or not at all
+	}
 	s.emit(CountsOut{Ref: e.Ref, Known: true, Done: j.doneCount, Running: n})
 }
 
 // tick looks at everything that only time changes.
 func (s *Scheduler) tick(entitled bool) {
 	s.expire()
+	s.roomChanged = true // a machine may be usable again
 	if !entitled {
 		return
 	}
@@ -456,5 +468,8 @@
 		}
 	}
 	s.recovered, s.dirty = true, true
+	for _, j := range s.queue {
+		s.touchGang(j.gang)
+	}
 	s.note(false, "rebuilt", "after", s.now-s.tookOver, "machines", len(s.fleet), "jobs", len(s.jobs))
 }
--- a/internal/coordination/scheduler/tasks.go
+++ b/internal/coordination/scheduler/tasks.go
@@ -163,28 +163,45 @@
 // progress notes what a bound task is doing.
 func (s *Scheduler) progress(b *binding, t *protocol.TaskReport) {
 	b.arrived()
+	before := b.phase
 	switch t.State {
+	case protocol.Gathering:
+		if b.phase != gathering {
+			s.learnFetch(b)
+			b.phase = gathering
+			s.gangGathers(b.job.gang)
+		}
 	case protocol.Running:
 		if b.phase != running {
+			if b.phase != gathering {
+				s.learnFetch(b)
+			}
 			b.phase, b.runAt = running, s.now
-			c := b.job.class
-			c.seen++
-			c.fetch += max(1/float64(c.seen), limits.LearnWeight) * ((s.now - b.at).Seconds() - c.fetch)
-			b.machine.fetched += (s.now - b.at).Seconds() * b.job.need.cpu
 			s.emit(Note{Level: slog.LevelDebug, Msg: "task running", Args: []any{"job", b.job.id, "class", b.job.spec.Class, "task", b.index, "machine", b.machine.name,
 				"age", (s.now - b.job.at).Seconds(), "queued", (b.at - b.job.at).Seconds(), "fetch", (s.now - b.at).Seconds(), "gb", b.job.spec.ImageGB}})
-			b.machine.images[b.job.spec.Image] = s.now
 		}
 	case protocol.Saving:
 		b.phase = saving
 	default:
 		b.phase = fetching
 	}
+	if b.phase != before {
+		s.touchGang(b.job.gang)
+	}
 	if b.job.cancelled {
 		s.stopBinding(b, "cancelled")
 	}
 }
 
+// learnFetch takes the time that a task waited for its image into the estimates.
+func (s *Scheduler) learnFetch(b *binding) {
+	c := b.job.class
+	c.seen++
+	c.fetch += max(1/float64(c.seen), limits.LearnWeight) * ((s.now - b.at).Seconds() - c.fetch)
+	b.machine.fetched += (s.now - b.at).Seconds() * b.job.need.cpu
+	b.machine.images[b.job.spec.Image] = s.now
+}
+
 // ended takes the end of one of our tasks.
 func (s *Scheduler) ended(b *binding, t *protocol.TaskReport) exit {
 	j, m, idx := b.job, b.machine, b.index
@@ -193,6 +210,7 @@
 		ran = (s.now - b.runAt).Seconds()
 	}
 	s.unbind(b)
+	s.gangTaskEnded(b, t)
 	x := exit{keep: b.unclear}
 	switch t.Reason {
 	case protocol.ReasonDone:
@@ -201,8 +219,9 @@
 		m.useful += ran * j.need.cpu
 		if !j.cancelled {
 			x.job = j
+			known := j.gang != nil && getBit(j.done, idx)
 			x.chunk, x.sequence = s.taskDone(j, idx)
-			if ran > 0 {
+			if ran > 0 && !known {
 				s.learn(j, m, ran)
 			}
 		}
@@ -210,6 +229,10 @@
 		m.wasted += ran * j.need.cpu
 		s.note(true, "task failed", "job", j.id, "task", idx, "attempt", t.Attempt, "machine", m.name)
 		s.failed(j, m)
+	case protocol.ReasonPeers, protocol.ReasonIncomplete:
+		// Another task of the gang is gone, or did not come: neither the machine nor the job has failed.
+		m.wasted += ran * j.need.cpu
+		s.note(false, "gang's task ended", "job", j.id, "task", idx, "attempt", t.Attempt, "machine", m.name, "reason", t.Reason)
 	case protocol.ReasonHalted:
 		m.wasted += ran * j.need.cpu
 		if b.stop && b.stopWhy != "cancelled" {
@@ -234,7 +257,7 @@
 		w := max(1/float64(c.n), limits.LearnWeight)
 		c.ratio += w * (ran/j.spec.EstimateS - c.ratio)
 	}
-	if j.runCount >= 3 {
+	if j.runCount >= 3 && j.gang == nil { // a gang runs at the speed of its slowest machine
 		m.speedCount++
 		m.speedSum += ran / (j.runSum / float64(j.runCount))
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -292,6 +292,10 @@
 	// FlushEvery is how often one chunk of finished tasks is written at most. What is not written yet is
 	// kept by the workers, so this only bounds how long they list it.
 	FlushEvery = 3 * time.Second
+	// ValueLeastKB is the smallest value size of the state service that every record of ours fits into.
+	ValueLeastKB = 0.5
+	// TxnOpsLeast is the least number of changes of a transaction: an election makes three at once.
+	TxnOpsLeast = 4
 	// FinFrame is what a record of finished tasks needs beside the bitmap, in bytes, rounded up.
 	FinFrame = 128
 	// PageFrame is what a page of registered machines needs beside its entries, and each entry beside its own JSON, in bytes, rounded up.
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -47,7 +47,7 @@
 	long := strings.Repeat("n", limits.MaxNameBytes+1)
 	bad := map[string][]any{
 		"NameId": {nil, 7, "", "job-", "job-12x", "run-1", "job-1/2", long}, "Docket": {nil, 1, "", long}, "Crew": {nil, false, ""},
-		"Shape": {nil, "ensemble", "service", 1}, "Urgency": {nil, "urgent", 2},
+		"Shape": {nil, "Ensemble", "service", 1}, "Urgency": {nil, "urgent", 2},
 		"Pieces": {nil, 0, -1, limits.MaxPieces + 1, 1.5, "1", uint64(math.MaxUint64)},
 		"Vcpus":  {nil, -1, math.NaN(), math.Inf(1), "4", true}, "Accelerators": {nil, -0.5}, "RamGb": {nil, math.Inf(-1)},
 		"Bundle": {nil, "", long}, "SizeGb": {nil, math.NaN()}, "Rigkinds": {"g8", []any{1}, []any{""}, []any{long}, 3},
@@ -100,7 +100,7 @@
 		if err != nil {
 			return
 		}
-		if s.Tasks < 1 || s.Tasks > limits.MaxPieces || !ValidJobID(s.ID) || !(s.CPUs >= 0) || s.Shape != "sweep" {
+		if s.Tasks < 1 || s.Tasks > limits.MaxPieces || !ValidJobID(s.ID) || !(s.CPUs >= 0) || (s.Shape != ShapeArray && s.Shape != ShapeGang) {
 			t.Fatalf("accepted %+v", s)
 		}
 	})
--- a/internal/protocol/users.go
+++ b/internal/protocol/users.go
@@ -38,6 +38,14 @@
 	Fetching = "fetching"
 	Saving   = "saving"
 	Ended    = "ended"
+
+	Gathering = "gathering" // of a gang's task: waits for the others
+)
+
+// Shapes of a job.
+const (
+	ShapeArray = "sweep"    // independent tasks
+	ShapeGang  = "ensemble" // all tasks run at the same time or none does
 )
 
 // Spec is a submitted job.
@@ -64,6 +72,9 @@
 	DeadlineS    float64  `cbor:"DueS" json:"DueS"` // 0: no deadline
 }
 
+// Gang tells whether the job's tasks run at the same time or not at all.
+func (s *Spec) Gang() bool { return s.Shape == ShapeGang }
+
 // ErrInvalid is wrapped by every complaint about a malformed submission.
 var ErrInvalid = errors.New("invalid")
 
@@ -225,8 +236,8 @@
 	if !ValidJobID(s.ID) {
 		return nil, fmt.Errorf("%w: NameId: not a job id", ErrInvalid)
 	}
-	if s.Shape != "sweep" {
-		return nil, fmt.Errorf("%w: Shape: must be sweep", ErrInvalid)
+	if s.Shape != ShapeArray && s.Shape != ShapeGang {
+		return nil, fmt.Errorf("%w: Shape: must be %s or %s", ErrInvalid, ShapeArray, ShapeGang)
 	}
 	if _, ok := ParsePriority(s.Priority); !ok {
 		return nil, fmt.Errorf("%w: Urgency: unknown", ErrInvalid)
--- a/internal/protocol/workers.go
+++ b/internal/protocol/workers.go
@@ -8,6 +8,9 @@
 	ReasonNoRoom = "no_room"
 	ReasonBusy   = "busy"
 	ReasonNoSuch = "no_such"
+
+	ReasonPeers      = "peers"      // of a gang: another task of it is gone
+	ReasonIncomplete = "incomplete" // of a gang: it was not complete in time
 )
 
 // Verbs of commands.
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -89,6 +89,16 @@
 	CancelMs  int64         `cbor:"CancelMs" json:"CancelMs"` // time of day before which nobody was told that it is cancelled
 }
 
+// Shortened returns the record of a cancelled job so that it fits, if it was stored when values could be larger: nothing is placed any more, so
+// it can do without what only says where and when a task may start.
+func (o Open) Shortened(valueKB float64) Open {
+	if !o.Cancelled || Fits(o, valueKB) {
+		return o
+	}
+	o.Spec.MachineTypes, o.Spec.Zone, o.Spec.Image, o.Spec.Class = nil, "", "", ""
+	return o
+}
+
 // Final is a job that is over.
 type Final struct {
 	State string `cbor:"Standing" json:"Standing"`
