--- a/internal/coordination/scheduler/gang.go
+++ b/internal/coordination/scheduler/gang.go
@@ -52,6 +52,9 @@
 
 // missing is how many tasks want a machine now: all of a gang that waits, and those that were lost before the start.
 func (g *gang) missing() int {
+	if g.settled() {
+		return 0
+	}
 	switch g.state {
 	case gangWaiting, gangPlaced, gangGathering:
 		return g.job.spec.Tasks - len(g.job.bound)
--- a/internal/coordination/scheduler/plan.go
+++ b/internal/coordination/scheduler/plan.go
@@ -85,11 +85,7 @@
 		if s.now < j.resume {
 			continue
 		}
-		zone := ""
-		if j.gang != nil && j.spec.SameZone {
-			zone = s.planZone(j, offers)
-		}
-		s.planJob(j, zone, fresh, may, &offers)
+		s.planJob(j, fresh, may, &offers)
 	}
 	pools := make([]pool, 0, len(fresh))
 	for p := range fresh {
@@ -240,34 +236,12 @@
 	return least
 }
 
-// planZone chooses the zone in which a gang is planned that must be in one: the one whose machines can take most of its tasks. It returns ""
-// if no machine can take any.
-func (s *Scheduler) planZone(j *job, offers []*offer) string {
-	for _, b := range j.bound {
-		return b.machine.zone
-	}
-	takes := map[string]int{}
-	for _, o := range offers {
-		if s.offerAllowed(j, o) {
-			takes[o.p.zone] += slots(sizeOf(o.typ).minus(room{cpu: o.used}), j.need)
-		}
-	}
-	best, most := "", 0
-	for _, zone := range sortedKeys(takes) {
-		if n := min(takes[zone], j.free()); n > most {
-			best, most = zone, n
-		}
-	}
-	return best
-}
-
 func (s *Scheduler) offerAllowed(j *job, o *offer) bool {
 	return sizeOf(o.typ).holds(j.need) && s.allows(j, o.p.kind, o.p.zone, o.p.spot) && (o.m == nil || !j.avoids(o.m))
 }
 
-// planJob promises a job's waiting tasks to offers that can start them in time, and adds machines to rent for what is left; all in one zone
-// if one is named.
-func (s *Scheduler) planJob(j *job, zone string, fresh map[pool]float64, may func(pool) int, all *[]*offer) {
+// planJob promises a job's waiting tasks to offers that can start them in time, and adds machines to rent for what is left.
+func (s *Scheduler) planJob(j *job, fresh map[pool]float64, may func(pool) int, all *[]*offer) {
 	est, n := j.occupies(), j.free()
 	// What the team's limit keeps out needs no machine now.
 	if j.need.cpu > 0 {
@@ -276,11 +250,15 @@
 	if n <= 0 || n < j.gangTasks() {
 		return
 	}
-	open := func(p pool) bool { return fresh[p] < float64(may(p)) && (zone == "" || p.zone == zone) }
+	zones := j.planZones()
+	open := func(p pool) bool { return fresh[p] < float64(may(p)) && zones.left(p.zone) > 0 }
 	// What starts before a new machine can be up needs none. What has waited as long already can't wait as long again, or a queue that is
 	// always as long
 	// would never be worked off.
 	within := max(max(s.patience(j), s.soonest(j))-(s.now-j.at).Seconds(), 0)
+	if j.gang != nil && j.spec.SameZone && !s.chooseZone(j, zones, n, within, open, *all) {
+		return
+	}
 	var p pool
 	var t *protocol.MachineType
 	carry := 0.0
@@ -288,28 +266,28 @@
 		if n == 0 {
 			return
 		}
-		if !s.offerAllowed(j, o) || (zone != "" && o.p.zone != zone) {
+		if !s.offerAllowed(j, o) || zones.left(o.p.zone) == 0 {
 			continue
 		}
-		n -= o.take(j, n, est, within, &carry)
+		n -= zones.count(o.p.zone, o.take(j, min(n, zones.left(o.p.zone)), est, within, &carry))
 	}
 	for n > 0 {
 		if t == nil || !open(p) {
 			if p, t = s.cheapestPool(j, open); t == nil {
 				return
 			}
-			if j.gang != nil && j.spec.SameZone {
-				zone = p.zone // the first choice holds for the rest
-			}
 		}
 		o := &offer{p: p, typ: t, ready: t.BootS * limits.BootReckon}
-		got := o.take(j, n, est, 0, new(float64))
+		got := zones.count(p.zone, o.take(j, min(n, zones.left(p.zone)), est, 0, new(float64)))
 		if got == 0 {
 			return
 		}
 		s.inZone[p.zone]++
 		whole := slots(sizeOf(t), j.need)
 		fresh[p] += float64(got) / float64(whole)
+		if j.gang != nil {
+			fresh[p] = math.Ceil(fresh[p] - limits.Epsilon) // it needs all of its machines; a part of them is of no use
+		}
 		if got < whole {
 			// The rest of this machine stays open for the jobs behind.
 			*all = append(*all, o)
@@ -326,20 +304,12 @@
 // use, a part will be free by then, as tasks end one after the other. The fraction of a task that is left over is carried to the next
 // offer.
 func (o *offer) take(j *job, n int, est, within float64, carry *float64) int {
-	size := sizeOf(o.typ)
-	per := slots(size, j.need)
+	per := slots(sizeOf(o.typ), j.need)
 	if per == 0 {
 		return 0
 	}
-	cpu := j.need.cpu
-	if cpu <= 0 {
-		cpu = size.cpu / float64(per)
-	}
-	room := size.cpu - o.used
-	if w := within - o.ready; w > 0 && o.load > 0 {
-		room += o.used * min(1, w*o.used/(2*o.load))
-	}
-	want := min(max(room/cpu, 0), float64(per)) + *carry
+	cpu := o.cpuOf(j, per)
+	want := o.startable(j, per, within) + *carry
 	k := min(n, int(want+limits.Epsilon), per)
 	*carry = min(want-float64(k), 1)
 	if k <= 0 {
@@ -361,6 +331,24 @@
 	return j.free()
 }
 
+// cpuOf is what a task is counted with where a machine holds so many of them.
+func (o *offer) cpuOf(j *job, per int) float64 {
+	if j.need.cpu > 0 {
+		return j.need.cpu
+	}
+	return sizeOf(o.typ).cpu / float64(per)
+}
+
+// startable is how many tasks of a job the offer can start within a time, of the number that it holds; a fraction where tasks in use will be
+// over by then.
+func (o *offer) startable(j *job, per int, within float64) float64 {
+	free := sizeOf(o.typ).cpu - o.used
+	if w := within - o.ready; w > 0 && o.load > 0 {
+		free += o.used * min(1, w*o.used/(2*o.load))
+	}
+	return min(max(free/o.cpuOf(j, per), 0), float64(per))
+}
+
 // slots is how many tasks fit at once.
 func slots(size, need room) int {
 	n := math.Inf(1)
--- a/internal/coordination/scheduler/world_test.go
+++ b/internal/coordination/scheduler/world_test.go
@@ -52,6 +52,8 @@
 	jobSeq    int
 	mail      []letter
 	failEvery map[string]bool // jobs that fail everywhere
+	gangs     map[string]*gangTruth
+	seen      *gangEvents
 }
 
 type pairOf struct {
@@ -102,6 +104,9 @@
 	ready    time.Duration // fetch ends
 	end      time.Duration
 	saveEnd  time.Duration
+
+	gatherEnd time.Duration // of a gang's task: when it has waited for too long
+	told      bool          // of a gang's task: it was told to stop, and saves
 }
 
 type letter struct {
@@ -138,9 +143,9 @@
 
 func newWorld(t interface{ Fatalf(string, ...any) }, seed uint64) *world {
 	w := &world{t: t, r: rand.New(rand.NewPCG(seed, 7)), keys: map[string]pairOf{}, rigs: map[string]*rig{},
-		hired: map[string][]string{}, jobs: map[string]*jobTruth{}, failEvery: map[string]bool{},
+		hired: map[string][]string{}, jobs: map[string]*jobTruth{}, failEvery: map[string]bool{}, gangs: map[string]*gangTruth{}, seen: &gangEvents{},
 		teams:   []config.Team{{Name: "red", CPUs: 12, CPUsMax: 32}, {Name: "blue", CPUs: 12, CPUsMax: 20}},
-		workers: config.Workers{ReportS: 2, LeaseS: 14, CancelS: 34},
+		workers: config.Workers{ReportS: 2, LeaseS: 14, CancelS: 34, GangWaitS: seconds(20), GangPeerS: seconds(4)},
 		types: []protocol.MachineType{
 			{Name: "s4", CPUs: 4, MemoryGB: 16, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 8, Zones: []string{"a", "b"}},
 			{Name: "b8", CPUs: 8, MemoryGB: 32, FetchGBPerS: 1, Price: 2, SpotPrice: 0.8, BootS: 12, Zones: []string{"a", "b"}},
@@ -148,6 +153,8 @@
 	return w
 }
 
+func seconds(v float64) *float64 { return &v }
+
 func (w *world) settings() Config {
 	return Config{Term: w.term, Teams: w.teams, Workers: w.workers,
 		State: config.State{RPS: 100, WriteRPS: 20, ValueKB: 4, TxnOps: 8}, ListLag: 3 * time.Second, Options: config.DefaultOptions()}
@@ -473,10 +480,14 @@
 		switch t.standing {
 		case protocol.Fetching:
 			if w.now >= t.ready {
+				if w.gangOf(t) != nil {
+					w.gather(g, t)
+					continue
+				}
 				w.begin(g, t)
 			}
 		case protocol.Running:
-			if w.now >= t.end {
+			if w.now >= t.end && w.gangOf(t) == nil {
 				t.standing, t.cause = protocol.Ended, protocol.ReasonDone
 				id, idx, _ := protocol.ParseTaskName(t.piece)
 				if g.sick || w.failEvery[id] {
@@ -617,6 +628,10 @@
 				continue
 			}
 			id, _, _ := protocol.ParseTaskName(o.Task)
+			if w.gangOf(here) != nil {
+				w.stopGangTask(g, here, *o.GraceS)
+				continue
+			}
 			if sp := w.jobs[id].spec; here.standing == protocol.Running && sp.CheckpointS > 0 && o.GraceS != nil && *o.GraceS >= sp.SaveS {
 				here.standing, here.saveEnd = protocol.Saving, w.now+time.Duration(sp.SaveS*float64(time.Second))
 			} else if here.standing != protocol.Saving || *o.GraceS == 0 {
@@ -670,7 +685,7 @@
 			continue
 		}
 		for _, x := range o.tasks {
-			if x.standing != protocol.Running && x.standing != protocol.Saving {
+			if !x.onMachine() {
 				continue
 			}
 			xid, _, _ := protocol.ParseTaskName(x.piece)
@@ -727,6 +742,10 @@
 	if w.chance(0.4) {
 		sp.DeadlineS = 20
 	}
+	if w.chance(0.3) {
+		sp.Shape = protocol.ShapeGang
+		sp.Tasks = 1 + w.r.IntN(min(5, int(20/sp.CPUs))) // all together fit into the lower of the teams' limits
+	}
 	w.jobs[id] = &jobTruth{spec: sp, done: map[int]bool{}}
 	w.put("open/"+id, storage.Open{Spec: sp})
 	if w.chance(0.08) {
@@ -828,13 +847,14 @@
 		w.run(g)
 		if w.now%time.Second == 0 {
 			for _, t := range g.tasks {
-				if t.standing == protocol.Running || t.standing == protocol.Saving {
+				if t.onMachine() {
 					id, _, _ := protocol.ParseTaskName(t.piece)
 					w.checkCancelled(w.jobs[id], fmt.Sprintf("at %v: %s still on %s", w.now, t.piece, n))
 				}
 			}
 		}
 	}
+	w.runGangs()
 	if w.now%(500*time.Millisecond) == 0 {
 		for _, c := range w.leaders {
 			if !c.dead && w.now >= c.ends {
@@ -868,9 +888,13 @@
 
 // TestRules plays days with faults of every kind against the protocol's rules, and then a calm end in which all work must get done.
 func TestRules(t *testing.T) {
+	seen := &gangEvents{}
 	rapid.Check(t, func(t *rapid.T) {
-		playDay(newWorld(t, rapid.Uint64().Draw(t, "seed")))
+		w := newWorld(t, rapid.Uint64().Draw(t, "seed"))
+		w.seen = seen
+		playDay(w)
 	})
+	seen.check(t)
 }
 
 func playDay(w *world) {
