--- /dev/null
+++ b/internal/coordination/scheduler/gang_test.go
@@ -0,0 +1,439 @@
+package scheduler
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"quillshunt/internal/limits"
+	"quillshunt/internal/protocol"
+	"quillshunt/internal/storage"
+)
+
+// gang submits a gang.
+func (b *bed) gang(id string, tasks int, cpus float64, change ...func(*protocol.Spec)) {
+	b.stamp++
+	spec := protocol.Spec{ID: id, Class: "g", Team: "red", Shape: protocol.ShapeGang, Priority: "standard", Tasks: tasks, CPUs: cpus, MemoryGB: 1,
+		Image: "i", EstimateS: 10, CheckpointS: 20, SaveS: 3}
+	for _, f := range change {
+		f(&spec)
+	}
+	b.step(JobSeen{ID: id, Version: 100 + b.stamp, Rec: storage.Open{Spec: spec}})
+}
+
+// gangBed is a bed whose workers are played: each takes its commands and reports what it has.
+type gangBed struct {
+	*bed
+	tasks [][]protocol.TaskReport // on each machine
+	deaf  map[int]bool            // machines that take no direct commands
+}
+
+func newGangBed(t *testing.T, machines int) *gangBed {
+	g := &gangBed{bed: newBed(t, machines), tasks: make([][]protocol.TaskReport, machines), deaf: map[int]bool{}}
+	g.reportAll()
+	g.reportAll()
+	return g
+}
+
+// reportAll lets every machine report once and take the answer; direct commands are taken as well.
+func (g *gangBed) reportAll() {
+	for i := range g.tasks {
+		orders := g.report(i, g.tasks[i]...)
+		out := g.out
+		g.take(i, orders)
+		g.deliver(out)
+	}
+}
+
+// deliver takes the direct commands among some effects.
+func (g *gangBed) deliver(out []Effect) {
+	for _, e := range out {
+		d, ok := e.(DirectOut)
+		if !ok {
+			continue
+		}
+		i := 0
+		for g.rig(i) != d.Machine {
+			i++
+		}
+		if g.deaf[i] {
+			continue
+		}
+		g.take(i, d.Commands)
+		g.tally++
+		more := g.step(DirectDone{ID: d.ID, Machine: d.Machine, Report: &protocol.Report{Machine: d.Machine, Address: "x:1", MachineType: "s8", Zone: "a",
+			Session: 1, Sequence: g.tally, Token: 3, Tasks: g.tasks[i]}})
+		g.deliver(more)
+	}
+}
+
+func (g *gangBed) take(i int, orders []protocol.Command) {
+	for _, o := range orders {
+		k := slices.IndexFunc(g.tasks[i], func(t protocol.TaskReport) bool { return t.Task == o.Task && t.Attempt == o.Attempt })
+		switch {
+		case o.Verb == protocol.CommandStart && k < 0:
+			g.tasks[i] = append(g.tasks[i], protocol.TaskReport{Task: o.Task, Attempt: o.Attempt, State: protocol.Fetching})
+		case o.Verb == protocol.CommandForget && k >= 0:
+			g.tasks[i] = slices.Delete(g.tasks[i], k, k+1)
+		}
+	}
+}
+
+// all sets what every task of a job shows.
+func (g *gangBed) all(job, state string) {
+	for i := range g.tasks {
+		for k := range g.tasks[i] {
+			if id, _, _ := protocol.ParseTaskName(g.tasks[i][k].Task); id == job && g.tasks[i][k].State != protocol.Ended {
+				g.tasks[i][k].State = state
+			}
+		}
+	}
+}
+
+// end ends a task on a machine.
+func (g *gangBed) end(i int, task, reason string) {
+	for k := range g.tasks[i] {
+		if g.tasks[i][k].Task == task {
+			g.tasks[i][k].State, g.tasks[i][k].Reason = protocol.Ended, reason
+		}
+	}
+}
+
+// where returns the machine that has a live task, and its attempt.
+func (g *gangBed) where(task string) (machine int, attempt uint64) {
+	for i := range g.tasks {
+		for _, t := range g.tasks[i] {
+			if t.Task == task && t.State != protocol.Ended {
+				return i, t.Attempt
+			}
+		}
+	}
+	return -1, 0
+}
+
+// commandsOf collects the commands of a verb that an event brings out, by direct commands and in the answer.
+func commandsOf(out []Effect, verb string) []protocol.Command {
+	var found []protocol.Command
+	for _, e := range out {
+		var orders []protocol.Command
+		switch e := e.(type) {
+		case DirectOut:
+			orders = e.Commands
+		case ReplyOut:
+			orders = e.Commands
+		}
+		for _, o := range orders {
+			if o.Verb == verb {
+				found = append(found, o)
+			}
+		}
+	}
+	return found
+}
+
+// TestGangTogether: a gang gets all its machines in one pass and one attempt number, or none; a smaller one behind it is not kept waiting.
+func TestGangTogether(t *testing.T) {
+	b := newGangBed(t, 2)
+	b.gang("job-1", 5, 4)
+	if got := commandsOf(b.out, protocol.CommandStart); len(got) != 0 || len(b.s.jobs["job-1"].bound) != 0 {
+		t.Fatalf("a part of a gang that does not fit was started: %+v", got)
+	}
+	b.gang("job-2", 4, 4)
+	got := commandsOf(b.out, protocol.CommandStart)
+	if len(got) != 4 {
+		t.Fatalf("starts: %+v", got)
+	}
+	for _, o := range got {
+		if o.Attempt != got[0].Attempt {
+			t.Errorf("attempts differ: %+v", got)
+		}
+	}
+}
+
+// TestGangWaitsForConfirmedRoom: a gang that takes room from others sends no start before the last of them is known to be gone, so that it
+// never holds a part of its machines while somebody else has the rest.
+func TestGangWaitsForConfirmedRoom(t *testing.T) {
+	b := newGangBed(t, 2)
+	b.job("job-1", "red", "low", 2, 6, 0)
+	b.deliver(b.out)
+	b.all("job-1", protocol.Running)
+	b.reportAll()
+	b.gang("job-2", 2, 8, func(s *protocol.Spec) { s.Priority, s.DeadlineS = "high", 12 })
+	stops := commandsOf(b.out, protocol.CommandStop)
+	if len(stops) != 2 {
+		t.Fatalf("stops: %+v", b.out)
+	}
+	b.deliver(b.out)
+	b.end(0, "job-1/0", protocol.ReasonHalted)
+	b.end(0, "job-1/1", protocol.ReasonHalted)
+	b.report(0, b.tasks[0]...)
+	if got := commandsOf(b.out, protocol.CommandStart); len(got) != 0 {
+		t.Fatalf("started while the other machine is not free: %+v", got)
+	}
+	b.end(1, "job-1/0", protocol.ReasonHalted)
+	b.end(1, "job-1/1", protocol.ReasonHalted)
+	b.report(1, b.tasks[1]...)
+	got := 0
+	for _, o := range commandsOf(b.out, protocol.CommandStart) {
+		if id, _, _ := protocol.ParseTaskName(o.Task); id == "job-2" {
+			got++
+		}
+	}
+	if got != 2 {
+		t.Fatalf("%d starts once all room is free: %+v", got, b.out)
+	}
+}
+
+// TestGangReplacement: a task that is lost while the gang gathers gets another machine under the same attempt number, never the one that may
+// know that attempt; under a new leader as well, which learns the number from reports.
+func TestGangReplacement(t *testing.T) {
+	b := newGangBed(t, 3)
+	b.gang("job-1", 2, 8)
+	b.deliver(b.out)
+	lostOn, attempt := b.where("job-1/0")
+	other, _ := b.where("job-1/1")
+	b.all("job-1", protocol.Gathering)
+	b.reportAll()
+	b.end(lostOn, "job-1/0", protocol.ReasonError)
+	b.reportAll()
+	again, same := b.where("job-1/0")
+	if again == lostOn || again == other || again < 0 || same != attempt {
+		t.Fatalf("replaced on %d by attempt %x; lost on %d, attempt %x", again, same, lostOn, attempt)
+	}
+	if stays, _ := b.where("job-1/1"); stays != other || b.s.jobs["job-1"].bound[1].stop {
+		t.Error("the task that waits was stopped")
+	}
+}
+
+// TestGangNotReplacedTooLate: without room for a lost task the whole gang is stopped, and waits again under a new attempt.
+func TestGangNotReplacedTooLate(t *testing.T) {
+	b := newGangBed(t, 2)
+	b.gang("job-1", 2, 8)
+	b.deliver(b.out)
+	lostOn, attempt := b.where("job-1/0")
+	other, _ := b.where("job-1/1")
+	b.all("job-1", protocol.Gathering)
+	b.reportAll()
+	b.end(lostOn, "job-1/0", protocol.ReasonError)
+	b.report(lostOn, b.tasks[lostOn]...)
+	if stops := commandsOf(b.out, protocol.CommandStop); len(stops) != 1 || stops[0].Task != "job-1/1" {
+		t.Fatalf("stops: %+v", b.out)
+	}
+	b.deliver(b.out)
+	b.end(other, "job-1/1", protocol.ReasonHalted)
+	b.reportAll()
+	b.reportAll()
+	if j := b.s.jobs["job-1"]; j.gang.attempt == attempt {
+		t.Errorf("the same attempt again: %+v", j.gang)
+	}
+}
+
+// TestGangLostWhileRunning: what is left of a gang that lost a task is ended at once, and the next attempt starts only when the last task of
+// the old one is gone: a task that is still on its machine would run twice.
+func TestGangLostWhileRunning(t *testing.T) {
+	b := newGangBed(t, 3)
+	b.gang("job-1", 2, 8)
+	b.deliver(b.out)
+	lostOn, attempt := b.where("job-1/0")
+	other, _ := b.where("job-1/1")
+	b.all("job-1", protocol.Running)
+	b.reportAll()
+	b.tasks[lostOn] = nil
+	b.report(lostOn)
+	stops := commandsOf(b.out, protocol.CommandStop)
+	if len(stops) != 1 || stops[0].Task != "job-1/1" || *stops[0].GraceS != 0 {
+		t.Fatalf("stops: %+v", stops)
+	}
+	b.deliver(b.out)
+	for range 3 {
+		b.reportAll()
+		if starts := commandsOf(b.out, protocol.CommandStart); len(starts) != 0 {
+			t.Fatalf("started while a task is there: %+v", starts)
+		}
+	}
+	b.end(other, "job-1/1", protocol.ReasonPeers)
+	b.reportAll()
+	b.reportAll()
+	if i, again := b.where("job-1/0"); i < 0 || again <= attempt {
+		t.Errorf("next attempt: on %d, %x after %x", i, again, attempt)
+	}
+	if b.s.machines[b.rig(other)].failures != 0 || len(b.s.jobs["job-1"].failOn) != 0 {
+		t.Error("counted as a failure of machine or job")
+	}
+}
+
+// TestGangStopsAsAWhole: a notice for one machine stops the gang on all, in one step, with time to save, however many direct commands are on
+// their way.
+func TestGangStopsAsAWhole(t *testing.T) {
+	b := newGangBed(t, 3)
+	b.gang("job-1", 3, 8)
+	b.deliver(b.out)
+	b.all("job-1", protocol.Running)
+	b.reportAll()
+	b.s.directs = limits.DirectsMost
+	left := 2.0
+	b.tally++
+	out := b.step(ReportIn{Entitled: true, Stayed: true, Report: &protocol.Report{Machine: b.rig(1), Address: "x:1", MachineType: "s8", Zone: "a",
+		Session: 1, Sequence: b.tally, Token: 3, NoticeS: &left, Tasks: b.tasks[1]}})
+	stops := commandsOf(out, protocol.CommandStop)
+	if len(stops) != 3 {
+		t.Fatalf("stops: %+v", stops)
+	}
+	for _, o := range stops {
+		if *o.GraceS < 3 {
+			t.Errorf("no time to save: %+v", o)
+		}
+	}
+}
+
+// TestGangStopGoesOnAfterTakeOver: a new leader that finds a task of a gang saving stops the rest, before it knows all machines.
+func TestGangStopGoesOnAfterTakeOver(t *testing.T) {
+	b := newBed(t, 3)
+	b.gang("job-1", 2, 8)
+	b.report(0, protocol.TaskReport{Task: "job-1/0", Attempt: 7, State: protocol.Running})
+	b.report(1, protocol.TaskReport{Task: "job-1/1", Attempt: 7, State: protocol.Saving})
+	stops := commandsOf(b.out, protocol.CommandStop)
+	if len(stops) != 2 || b.s.recovered {
+		t.Fatalf("stops: %+v", stops)
+	}
+}
+
+// TestGangAfterTakeOver: a new leader completes a gang that gathers, under the number that its reports show; it ends one that ran and has lost
+// a task.
+func TestGangAfterTakeOver(t *testing.T) {
+	for _, c := range []struct {
+		state string
+		start bool
+	}{{protocol.Gathering, true}, {protocol.Running, false}} {
+		b := newBed(t, 2)
+		b.gang("job-1", 2, 8)
+		has := protocol.TaskReport{Task: "job-1/0", Attempt: 7, State: c.state}
+		b.report(0, has)
+		b.report(1)
+		starts, stops := commandsOf(b.out, protocol.CommandStart), commandsOf(b.out, protocol.CommandStop)
+		switch {
+		case c.start && (len(starts) != 1 || starts[0].Attempt != 7 || starts[0].Task != "job-1/1"):
+			t.Errorf("%s: not completed: %+v", c.state, b.out)
+		case !c.start && (len(starts) != 0 || len(stops) != 1):
+			t.Errorf("%s: not ended: %+v", c.state, b.out)
+		}
+	}
+}
+
+// TestGangDone: when one task is done all are, so the job is, also while reports of the others are still to come; but their machines stay
+// bound.
+func TestGangDone(t *testing.T) {
+	b := newGangBed(t, 2)
+	b.gang("job-1", 2, 8)
+	b.deliver(b.out)
+	i, _ := b.where("job-1/0")
+	b.all("job-1", protocol.Running)
+	b.reportAll()
+	b.end(i, "job-1/0", protocol.ReasonDone)
+	b.report(i, b.tasks[i]...)
+	var final bool
+	for _, e := range b.out {
+		if w, ok := e.(WriteOut); ok && w.Ops[0].Put == storage.FinalKey("job-1") {
+			final = true
+			b.step(WriteDone{ID: w.ID, OK: true, Version: 900})
+		}
+	}
+	if !final {
+		t.Fatalf("no final record: %+v", b.out)
+	}
+	if b.s.teams["red"].used.cpu != 8 {
+		t.Errorf("the other task counts no more: %+v", b.s.teams["red"].used)
+	}
+	b.gang("job-2", 2, 8)
+	if starts := commandsOf(b.out, protocol.CommandStart); len(starts) != 0 {
+		t.Errorf("its room was given away: %+v", starts)
+	}
+}
+
+// TestGangIncomplete: a gang whose tasks gave up waiting is neither the machines' fault nor the job's, and starts again as a whole.
+func TestGangIncomplete(t *testing.T) {
+	b := newGangBed(t, 2)
+	b.gang("job-1", 2, 8)
+	b.deliver(b.out)
+	i, attempt := b.where("job-1/0")
+	k, _ := b.where("job-1/1")
+	b.all("job-1", protocol.Gathering)
+	b.reportAll()
+	b.end(i, "job-1/0", protocol.ReasonIncomplete)
+	b.report(i, b.tasks[i]...)
+	if stops := commandsOf(b.out, protocol.CommandStop); len(stops) != 1 {
+		t.Fatalf("the other task still waits: %+v", b.out)
+	}
+	b.deliver(b.out)
+	b.end(k, "job-1/1", protocol.ReasonHalted)
+	b.reportAll()
+	b.reportAll()
+	if at, again := b.where("job-1/0"); at < 0 || again <= attempt {
+		t.Errorf("not started again: %d %x", at, again)
+	}
+	if b.s.machines[b.rig(i)].failures != 0 || len(b.s.jobs["job-1"].failOn) != 0 {
+		t.Error("counted as a failure")
+	}
+}
+
+// TestGangVictim: a gang that is stopped for somebody counts once, with the loss of all its tasks, and leaves room on all its machines.
+func TestGangVictim(t *testing.T) {
+	b := newGangBed(t, 2)
+	b.gang("job-1", 4, 4, func(s *protocol.Spec) { s.Priority, s.CheckpointS, s.SaveS = "low", 0, 0 })
+	b.deliver(b.out)
+	b.all("job-1", protocol.Running)
+	b.reportAll()
+	for range 3 {
+		b.now += time.Second
+		b.reportAll()
+	}
+	m := b.s.machines[b.rig(0)]
+	b.job("job-2", "red", "high", 1, 8, 0)
+	options := b.s.stoppable(b.s.jobs["job-2"], m, nil)
+	one := b.s.loss(b.s.jobs["job-1"].bound[0])
+	if len(options) != 1 || options[0].need.cpu != 8 || options[0].loss < 3.9*one {
+		t.Fatalf("victims: %+v, a task's loss %v", options, one)
+	}
+	b.job("job-3", "red", "high", 2, 8, 12)
+	if stops := commandsOf(b.out, protocol.CommandStop); len(stops) != 4 {
+		t.Errorf("stops: %+v", stops)
+	}
+	if bound := len(b.s.jobs["job-3"].bound); bound != 2 {
+		t.Errorf("%d of 2 tasks have got the room that the gang leaves", bound)
+	}
+}
+
+// TestGangCancelled: a cancelled gang is ended in every state, at once and without saving.
+func TestGangCancelled(t *testing.T) {
+	for _, state := range []string{protocol.Fetching, protocol.Gathering, protocol.Running} {
+		b := newGangBed(t, 2)
+		b.gang("job-1", 2, 8)
+		b.deliver(b.out)
+		b.all("job-1", state)
+		b.reportAll()
+		b.stamp++
+		b.step(JobSeen{ID: "job-1", Version: 100 + b.stamp, Rec: storage.Open{Cancelled: true, Spec: b.s.jobs["job-1"].spec}})
+		stops := commandsOf(b.out, protocol.CommandStop)
+		if len(stops) != 2 || *stops[0].GraceS != 0 {
+			t.Errorf("%s: stops %+v", state, stops)
+		}
+	}
+}
+
+// TestGangRunnable: a gang must fit into its team's limit as a whole, an array with one task.
+func TestGangRunnable(t *testing.T) {
+	types := []protocol.MachineType{{Name: "s8", CPUs: 8, Accelerators: 2, MemoryGB: 32, Zones: []string{"a"}}}
+	spec := protocol.Spec{Shape: protocol.ShapeGang, Tasks: 4, CPUs: 8, Accelerators: 1, MemoryGB: 1}
+	for _, c := range []struct {
+		cpus, gpus float64
+		gang       bool
+	}{{32, 4, true}, {31, 4, false}, {32, 3, false}} {
+		if got := Runnable(&spec, types, c.cpus, c.gpus); got != c.gang {
+			t.Errorf("%+v: %v", c, got)
+		}
+	}
+	spec.Shape = protocol.ShapeArray
+	if !Runnable(&spec, types, 8, 1) {
+		t.Error("array refused")
+	}
+}
--- a/internal/coordination/scheduler/model.go
+++ b/internal/coordination/scheduler/model.go
@@ -270,6 +270,7 @@
 	heldFor      *job // in this pass; see reserve
 	wasHeld      bool // in the pass before
 	wanted       bool // the last plan counts on it
+	gangWanted   bool // the last plan counts on it for a gang that waits
 	drain        bool // to be emptied and returned, unless work comes
 	todo         bool // has orders that did not go out yet
 	deleting     bool
--- a/internal/coordination/scheduler/plan.go
+++ b/internal/coordination/scheduler/plan.go
@@ -29,7 +29,7 @@
 	clear(s.inZone)
 	for _, m := range s.fleet {
 		total++
-		m.wanted = false
+		m.wanted, m.gangWanted = false, false
 		if !m.deleting {
 			s.inZone[m.zone]++
 		}
@@ -173,7 +173,7 @@
 	var ms []*machine
 	for _, m := range s.fleet {
 		m.drain = false
-		if !s.usable(m) {
+		if !s.usable(m) || m.gangWanted { // what a gang waits for can't be made up for by room elsewhere
 			continue
 		}
 		total += m.size().cpu
@@ -269,7 +269,11 @@
 		if !s.offerAllowed(j, o) || zones.left(o.p.zone) == 0 {
 			continue
 		}
-		n -= zones.count(o.p.zone, o.take(j, min(n, zones.left(o.p.zone)), est, within, &carry))
+		got := zones.count(o.p.zone, o.take(j, min(n, zones.left(o.p.zone)), est, within, &carry))
+		if o.m != nil && got > 0 && j.gang != nil {
+			o.m.gangWanted = true
+		}
+		n -= got
 	}
 	for n > 0 {
 		if t == nil || !open(p) {
--- a/internal/coordination/scheduler/scheduler_test.go
+++ b/internal/coordination/scheduler/scheduler_test.go
@@ -97,7 +97,7 @@
 func newBed(t *testing.T, machines int) *bed {
 	b := &bed{t: t, s: New(Config{Term: 3,
 		Teams:   []config.Team{{Name: "red", CPUs: 8, CPUsMax: 100}, {Name: "blue", CPUs: 8, CPUsMax: 100}},
-		Workers: config.Workers{ReportS: 2, LeaseS: 14, CancelS: 34}, State: config.State{WriteRPS: 20, ValueKB: 4, TxnOps: 8}, Options: config.DefaultOptions()}, 0)}
+		Workers: config.Workers{ReportS: 2, LeaseS: 14, CancelS: 34, GangWaitS: seconds(20), GangPeerS: seconds(4)}, State: config.State{WriteRPS: 20, ValueKB: 4, TxnOps: 8}, Options: config.DefaultOptions()}, 0)}
 	b.step(TypesDone{OK: true, Types: []protocol.MachineType{{Name: "s8", CPUs: 8, MemoryGB: 32, FetchGBPerS: 1, Price: 1, SpotPrice: 1, BootS: 5, Zones: []string{"a"}}}})
 	loadUp(b.s, "h-1-1", upHire("s8", machines, b.rig), b.now)
 	b.step(Loaded{})
