--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -39,16 +39,55 @@
 	}
 }
 
+// TestLowestLimits: announced limits are kept to from the start, each for itself, and only where they are lower.
+func TestLowestLimits(t *testing.T) {
+	s, err := Parse([]byte(strings.Replace(good, `"txn_ops":8}`, `"txn_ops":8,"next":{"write_rps":15,"value_kb":8,"txn_ops":4}}`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := s.Facts.State, (State{RPS: 150, WriteRPS: 15, ValueKB: 4, TxnOps: 4}); got != want {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+}
+
+// TestGangTimes: both times of gangs or none; a deployment with neither has no gangs.
+func TestGangTimes(t *testing.T) {
+	for _, c := range []struct {
+		fields, at string
+		gangs      bool
+	}{
+		{"", "", false},
+		{`,"gang_wait_s":40,"gang_peer_s":8`, "", true},
+		{`,"gang_wait_s":40`, "gang_peer_s", false},
+		{`,"gang_peer_s":8`, "gang_wait_s", false},
+		{`,"gang_wait_s":0,"gang_peer_s":8`, "gang_wait_s", false},
+		{`,"gang_wait_s":40,"gang_peer_s":-1`, "gang_peer_s", false},
+		{`,"gang_wait_s":"long","gang_peer_s":8`, "gang_wait_s", false},
+	} {
+		s, err := Parse([]byte(strings.Replace(good, `"cancel_s":34`, `"cancel_s":34`+c.fields, 1)))
+		switch {
+		case c.at != "":
+			if err == nil || !strings.Contains(err.Error(), c.at) {
+				t.Errorf("%s: %v", c.fields, err)
+			}
+		case err != nil || s.Facts.Workers.Gangs() != c.gangs:
+			t.Errorf("%s: %v", c.fields, err)
+		}
+	}
+}
+
 // TestFieldNamed: whatever is wrong, the error is one line that names the field.
 func TestFieldNamed(t *testing.T) {
+	withNext := strings.Replace(good, `"txn_ops":8}`, `"txn_ops":8,"next":{}}`, 1)
 	for field, value := range map[string]any{
+		"facts.state.next.rps": -1, "facts.state.next.write_rps": 0, "facts.state.next.value_kb": 0.1, "facts.state.next.txn_ops": 3,
 		"node_name": "", "client_listen": "here", "peer_bind": 7, "external.cloud": "", "external.state": "x:y",
 		"facts.workers.lease_s": 0, "facts.workers.report_s": -1, "facts.workers.cancel_s": "soon", "facts.state.rps": 0,
 		"facts.state.write_rps": nil, "facts.state.value_kb": 0, "facts.state.txn_ops": 1, "facts.cloud.rps": 0,
 		"facts.cloud.list_lag_s": -1, "facts.machine_limits.memory_mb": 7, "facts.machine_limits.core_share": -1, "facts.machine_limits.max_sockets": 3, "facts.teams": []any{},
 	} {
 		var doc map[string]any
-		if err := json.Unmarshal([]byte(good), &doc); err != nil {
+		if err := json.Unmarshal([]byte(withNext), &doc); err != nil {
 			t.Fatal(err)
 		}
 		at := doc
--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -24,6 +24,8 @@
 	state *standin.State
 	addr  string
 	call  *transport.Client
+
+	settings *config.Settings
 }
 
 func freePort(t *testing.T) string {
@@ -59,6 +61,7 @@
 	s := &config.Settings{NodeName: "rig-0", Facts: config.Facts{
 		Teams: []config.Team{{Name: "vision", CPUsMax: 100, GPUsMax: 4}, {Name: "tiny", CPUsMax: 1}},
 		State: config.State{RPS: 10_000, WriteRPS: 10_000, ValueKB: 4, TxnOps: 8}}}
+	f.settings = s
 	store := storage.New(back, s.Facts.State)
 	peers, err := peer.Dial(nil, nil)
 	if err != nil {
@@ -112,6 +115,7 @@
 
 func TestUsersAPI(t *testing.T) {
 	f := newFront(t)
+	f.settings.Facts.Workers.GangWaitS, f.settings.Facts.Workers.GangPeerS = new(float64), new(float64)
 	many := make([]string, limits.MaxMachineTypes)
 	for i := range many {
 		many[i] = "g8-with-a-rather-long-name"
@@ -141,6 +145,9 @@
 		{"record over the value limit", "POST", "/v2/runs", run("job-1", map[string]any{"Rigkinds": many}), 400, ""},
 		{"unknown team", "POST", "/v2/runs", run("job-1", map[string]any{"Crew": "nobody"}), 422, ""},
 		{"over the team's limit", "POST", "/v2/runs", run("job-1", map[string]any{"Crew": "tiny"}), 422, ""},
+		{"unknown shape", "POST", "/v2/runs", run("job-1", map[string]any{"Shape": "service"}), 400, ""},
+		{"gang over the team's limit as a whole", "POST", "/v2/runs", run("job-5", map[string]any{"Shape": "ensemble", "Pieces": 5}), 422, ""},
+		{"gang", "POST", "/v2/runs", run("job-5", map[string]any{"Shape": "ensemble", "Pieces": 4}), 201, protocol.Pending},
 		{"fits no type", "POST", "/v2/runs", run("job-1", map[string]any{"Vcpus": 17}), 422, ""},
 		{"unknown type", "POST", "/v2/runs", run("job-1", map[string]any{"Rigkinds": []string{"x"}}), 422, ""},
 		{"zone without such a type", "POST", "/v2/runs", run("job-1", map[string]any{"Yard": "b"}), 422, ""},
@@ -305,3 +312,34 @@
 		}
 	}
 }
+
+// TestNoGangs: where the settings name no times of gangs, the workers know none, and a gang is malformed; also with a full stage.
+func TestNoGangs(t *testing.T) {
+	f := newFront(t)
+	if status, _, _ := f.do("POST", "/v2/runs", run("job-1", map[string]any{"Shape": "ensemble"})); status != 400 {
+		t.Errorf("status %d", status)
+	}
+}
+
+// TestLargeRecord: a job that was stored when values could be larger can still be cancelled, and a repeated submission of it is known.
+func TestLargeRecord(t *testing.T) {
+	f := newFront(t)
+	f.settings.Facts.State.ValueKB = 0.5
+	spec := protocol.Spec{ID: "job-1", Class: "train", Team: "vision", Shape: protocol.ShapeArray, Priority: "high", Tasks: 2, CPUs: 8, Image: "img"}
+	for range 20 {
+		spec.MachineTypes = append(spec.MachineTypes, "g8-with-a-rather-long-name")
+	}
+	f.state.Txn(protocol.Txn{Ops: []protocol.Op{{Put: storage.OpenKey("job-1"), Value: protocol.Encode(storage.Open{Spec: spec})}}})
+	again := run("job-1", map[string]any{"Rigkinds": append([]string{"g8"}, spec.MachineTypes...)})
+	if status, standing, _ := f.do("POST", "/v2/runs", again); status != 200 || standing != protocol.Pending {
+		t.Errorf("repeated: %d %q", status, standing)
+	}
+	if status, standing, _ := f.do("POST", "/v2/runs/job-1/cancel", nil); status != 200 || standing != protocol.Aborted {
+		t.Errorf("cancelled: %d %q", status, standing)
+	}
+	p, _ := f.state.Get(storage.OpenKey("job-1"))
+	var rec storage.Open
+	if err := protocol.Decode(p.Value, &rec); err != nil || !storage.Fits(rec, 0.5) || rec.Spec.Tasks != 2 || rec.Spec.CPUs != 8 || rec.Spec.Team != "vision" {
+		t.Errorf("stored: %+v %v", rec, err)
+	}
+}
--- a/internal/protocol/wire_test.go
+++ b/internal/protocol/wire_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/hex"
+	"reflect"
 	"testing"
 )
 
-// TestWireBytes pins every message to the bytes that other programs and other builds read: a rename in Go must not change them.
+// TestWireBytes pins every message to the bytes that other programs and other builds read: a rename in Go must not change them. The
+// bytes are those of commit 9ae7341, the version that the first rolling upgrade starts from.
 func TestWireBytes(t *testing.T) {
 	number, count := 1.5, 3
 	for _, c := range []struct {
@@ -46,5 +48,13 @@
 		if got := hex.EncodeToString(Encode(c.message)); got != c.bytes {
 			t.Errorf("%s: %s, want %s", c.name, got, c.bytes)
 		}
+		read := reflect.New(reflect.TypeOf(c.message))
+		b, err := hex.DecodeString(c.bytes)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := Decode(b, read.Interface()); err != nil || !reflect.DeepEqual(read.Elem().Interface(), c.message) {
+			t.Errorf("%s: read as %+v, %v", c.name, read.Elem(), err)
+		}
 	}
 }
--- a/internal/storage/wire_test.go
+++ b/internal/storage/wire_test.go
@@ -2,13 +2,15 @@
 
 import (
 	"encoding/hex"
+	"reflect"
 	"testing"
 
 	"quillshunt/internal/protocol"
 )
 
 // TestRecordBytes pins every record to the bytes that other builds read, and to its size as the state service counts it: a rename in Go
-// must change neither.
+// must change neither. The bytes are those that commit 9ae7341 writes, the version that the first rolling upgrade starts from: what it has
+// stored is read as it was meant, and it reads what this version stores.
 func TestRecordBytes(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -31,6 +33,14 @@
 		if got := hex.EncodeToString(protocol.Encode(c.record)); got != c.bytes {
 			t.Errorf("%s: %s, want %s", c.name, got, c.bytes)
 		}
+		read := reflect.New(reflect.TypeOf(c.record))
+		b, err := hex.DecodeString(c.bytes)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := protocol.Decode(b, read.Interface()); err != nil || !reflect.DeepEqual(read.Elem().Interface(), c.record) {
+			t.Errorf("%s: read as %+v, %v", c.name, read.Elem(), err)
+		}
 		if got := Size(c.record); got != c.size {
 			t.Errorf("%s: size %d, want %d", c.name, got, c.size)
 		}
