--- a/internal/coordination/scheduler/gangplace.go
+++ b/internal/coordination/scheduler/gangplace.go
@@ -67,7 +67,7 @@
 	if !j.teamAllows() {
 		return false
 	}
-	ask := gangRequest{request{j.need, j.team, j.priority, j.guaranteed, j.spec.Spot, s.pressing(j)}, n, j.spec.SameZone, j.spec.SpreadZones}
+	ask := gangRequest{request{j.need, j.team, j.priority, j.guaranteed, j.spec.Spot, s.pressing(j), true}, n, j.spec.SameZone, j.spec.SpreadZones}
 	common := j.spec.Zone == "" && len(j.spec.MachineTypes) == 0 && len(j.failOn) == 0 && len(j.bound) == 0
 	if s.now < j.pressAgain {
 		ask.pressing = false
--- a/internal/coordination/scheduler/model.go
+++ b/internal/coordination/scheduler/model.go
@@ -140,6 +140,7 @@
 	backoff  time.Duration
 	resume   time.Duration // nothing is placed before
 
+	startedAt  time.Duration // when a task of it was last bound to a machine
 	pressAgain time.Duration // it looks for tasks to stop not before; see Scheduler.pressAgain
 }
 
@@ -270,6 +271,8 @@
 	heldFor      *job // in this pass; see reserve
 	wasHeld      bool // in the pass before
 	wanted       bool // the last plan counts on it
+	gangRoom     bool // kept for gangs; see keepGangRoom
+	wasGangRoom  bool // by the plan before
 	gangWanted   bool // the last plan counts on it for a gang that waits
 	drain        bool // to be emptied and returned, unless work comes
 	todo         bool // has orders that did not go out yet
@@ -428,7 +431,8 @@
 	claimed        []claim
 	inZone         map[string]int // machines in each zone at the last plan
 	todo           []*machine     // with orders that did not go out yet; see dispatch
-	held           int            // of todo, how many were held back by earlier calls
+	gangRoom       map[gangKind]*gangDemand
+	held           int // of todo, how many were held back by earlier calls
 
 	touchedGangs []*gang    // to be looked at by settleGangs
 	placedGangs  []*gang    // with tasks whose starts wait for commitGangs
@@ -456,6 +460,7 @@
 		pools:    map[pool]*poolState{},
 		writes:   map[uint64]pendingWrite{},
 		pass:     pass{refused: map[request]bool{}, refusedGangs: map[gangRequest]bool{}}, pressAgain: map[request]time.Duration{},
+		gangRoom:        map[gangKind]*gangDemand{},
 		inZone:          map[string]int{},
 		registrationsAt: now - limits.RegisterEvery,
 		probes:          newProbeBudget(cfg.CoreShare),
@@ -521,6 +526,7 @@
 func (s *Scheduler) bind(j *job, idx int, m *machine, try uint64, ph phase) *binding {
 	b := &binding{job: j, index: idx, task: protocol.TaskName(j.id, idx), attempt: try, machine: m, phase: ph, at: s.now}
 	j.bound[idx] = b
+	j.startedAt = s.now
 	s.touchGang(j.gang)
 	s.queueCommands(m)
 	setBit(j.busy, idx)
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -38,6 +38,7 @@
 	guar     bool
 	spot     bool
 	pressing bool
+	gangRoom bool // may use machines that are kept for gangs
 }
 
 // place is the scheduling pass. For each job in order of claim it filters the machines, ranks what is left on
@@ -238,7 +239,7 @@
 // placeJob places up to n of a job's tasks.
 func (s *Scheduler) placeJob(j *job, n int) {
 	p := &s.pass
-	ask := request{j.need, j.team, j.priority, j.guaranteed, j.spec.Spot, s.pressing(j)}
+	ask := request{j.need, j.team, j.priority, j.guaranteed, j.spec.Spot, s.pressing(j), s.mayUseGangRoom(j)}
 	common := j.spec.Zone == "" && len(j.spec.MachineTypes) == 0 && !j.spec.SameZone && !j.spec.SpreadZones && len(j.failOn) == 0
 	if ask.pressing && (s.now < j.pressAgain || (common && s.now < s.pressAgain[ask])) {
 		ask.pressing = false
@@ -455,6 +456,9 @@
 		tasks += planned.tasks
 	}
 	over := !free.holds(j.need)
+	if m.gangRoom && !s.mayUseGangRoom(j) {
+		return c, false
+	}
 	if over && !pressing || (m.heldFor != nil && m.heldFor != j) || !s.allowed(j, m) || tasks >= limits.MaxTasks {
 		return c, false
 	}
@@ -481,6 +485,9 @@
 	left := free.minus(j.need)
 	c.scores[weighPack] = -left.cpu
 	c.scores[weighPrice] = -m.perCPU()
+	if j.gang != nil && m.gangRoom {
+		c.scores[weighKept] = 1
+	}
 	if m.speedCount >= 3 {
 		c.scores[weighSpeed] = -math.Round(m.speedSum/float64(m.speedCount)/limits.SpeedStep) * limits.SpeedStep
 	} else {
--- a/internal/coordination/scheduler/plan.go
+++ b/internal/coordination/scheduler/plan.go
@@ -87,6 +87,8 @@
 		}
 		s.planJob(j, fresh, may, &offers)
 	}
+	s.keepGangRoom(fresh, may)
+	s.dirty = s.dirty || len(s.gangRoom) > 0 // who waits may use what is kept after a while, or what is kept no more
 	pools := make([]pool, 0, len(fresh))
 	for p := range fresh {
 		pools = append(pools, p)
@@ -173,7 +175,7 @@
 	var ms []*machine
 	for _, m := range s.fleet {
 		m.drain = false
-		if !s.usable(m) || m.gangWanted { // what a gang waits for can't be made up for by room elsewhere
+		if !s.usable(m) || m.gangWanted || m.gangRoom { // what a gang waits for can't be made up for by room elsewhere
 			continue
 		}
 		total += m.size().cpu
@@ -237,7 +239,10 @@
 }
 
 func (s *Scheduler) offerAllowed(j *job, o *offer) bool {
-	return sizeOf(o.typ).holds(j.need) && s.allows(j, o.p.kind, o.p.zone, o.p.spot) && (o.m == nil || !j.avoids(o.m))
+	if o.m != nil && (j.avoids(o.m) || (o.m.gangRoom && !s.mayUseGangRoom(j))) {
+		return false
+	}
+	return sizeOf(o.typ).holds(j.need) && s.allows(j, o.p.kind, o.p.zone, o.p.spot)
 }
 
 // planJob promises a job's waiting tasks to offers that can start them in time, and adds machines to rent for what is left.
@@ -270,8 +275,12 @@
 			continue
 		}
 		got := zones.count(o.p.zone, o.take(j, min(n, zones.left(o.p.zone)), est, within, &carry))
-		if o.m != nil && got > 0 && j.gang != nil {
-			o.m.gangWanted = true
+		if got > 0 && j.gang != nil {
+			if o.m != nil {
+				o.m.gangWanted = true
+			} else {
+				wholeMachines(fresh, o.p)
+			}
 		}
 		n -= got
 	}
@@ -289,8 +298,8 @@
 		s.inZone[p.zone]++
 		whole := slots(sizeOf(t), j.need)
 		fresh[p] += float64(got) / float64(whole)
-		if j.gang != nil {
-			fresh[p] = math.Ceil(fresh[p] - limits.Epsilon) // it needs all of its machines; a part of them is of no use
+		if j.gang != nil || s.now > max(j.at, j.startedAt)+limits.FractionPatience {
+			wholeMachines(fresh, p)
 		}
 		if got < whole {
 			// The rest of this machine stays open for the jobs behind.
@@ -303,6 +312,12 @@
 	}
 }
 
+// wholeMachines rounds up how many machines of a pool are to be rented: a gang needs all of its machines, and who has waited for long for a part
+// of one would else wait as long as other machines run.
+func wholeMachines(fresh map[pool]float64, p pool) {
+	fresh[p] = math.Ceil(fresh[p] - limits.Epsilon)
+}
+
 // take promises up to n tasks to the offer and returns how many it takes: those that can start within a time, or as soon as it is ready.
 // Of what is in
 // use, a part will be free by then, as tasks end one after the other. The fraction of a task that is left over is carried to the next
--- a/internal/coordination/scheduler/rank.go
+++ b/internal/coordination/scheduler/rank.go
@@ -19,6 +19,7 @@
 	weighPack
 	weighPrice
 	weighSpeed
+	weighKept
 	weighers
 )
 
@@ -29,6 +30,7 @@
 	weighPack:       limits.WeighPack,
 	weighPrice:      limits.WeighPrice,
 	weighSpeed:      limits.WeighSpeed,
+	weighKept:       limits.WeighKept,
 }
 
 // shelves are candidates put together by their scores, as only the first by name of those that are alike can be the best: on a large
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -249,6 +249,14 @@
 	WeighImage = 8.0
 	// WeighPack prefers machines that are left with less free room, so that others empty and can be returned.
 	WeighPack = 4.0
+	// WeighKept lets gangs prefer machines that are kept for them over any others with free room.
+	WeighKept = 20.0
+	// GangRoomMemory is how long room is kept for as many gangs as there were at once: longer than a gang's tasks run and a machine boots, and
+	// not much longer, as the room is paid for.
+	GangRoomMemory = 90 * time.Second
+	// GangRoomYields is how long a job waits for room, since its last start, before it may use what is kept for gangs: well below the 90 s for
+	// which nobody may wait while a machine has room.
+	GangRoomYields = 45 * time.Second
 	// WeighSpeed prefers machines seen to be fast.
 	WeighSpeed = 1.0
 	// SpeedStep is the step in which observed speeds are compared, as a share of the usual run time: healthy machines differ by a tenth,
@@ -375,6 +383,8 @@
 	DearSlack = 60 * time.Second
 	// RentalFraction is the part of a machine that must be wanted before one more is rented while others run.
 	RentalFraction = 0.3
+	// FractionPatience is how long a job waits since its last start before any part of a machine is enough to rent one for it.
+	FractionPatience = 30 * time.Second
 	// RebuildPatience and RebuildReports (in report intervals) are how long after a take-over a machine that may hold tasks may stay
 	// unheard of before
 	// it is deleted, which is quicker evidence than the end of its lease. Workers find a new leader in a few seconds.
