--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -58,10 +58,9 @@
 func (g *Gateway) followTypes(ctx context.Context) {
 	var back storage.Backoff
 	for {
-		p, err := g.Store.Get(ctx, storage.KeyTypes)
-		var t storage.Types
-		if err == nil && p.Version != 0 && protocol.Decode(p.Value, &t) == nil {
-			g.types.Store(&t.MachineTypes)
+		stored, err := g.Store.ReadTypes(ctx)
+		if err == nil {
+			g.types.Store(&stored.Types)
 			back.Reset()
 			select {
 			case <-ctx.Done():
--- a/internal/coordination/leader/cloud.go
+++ b/internal/coordination/leader/cloud.go
@@ -183,24 +183,25 @@
 }
 
 func (t *term) keepTypes(ctx context.Context, list []protocol.MachineType) error {
-	p, err := t.runner.store.Get(ctx, storage.KeyTypes)
-	if err != nil {
+	stored, err := t.runner.store.ReadTypes(ctx)
+	if err != nil && !errors.Is(err, storage.ErrNoTypes) {
 		return err
 	}
-	var old storage.Types
-	if p.Version != 0 && protocol.Decode(p.Value, &old) == nil && sameShapes(old.MachineTypes, list) {
+	if err == nil && sameShapes(stored.Types, list) {
 		return nil
 	}
-	_, err = t.runner.store.Txn(ctx, protocol.Txn{
-		Conditions: []protocol.Condition{t.leadership.Guard(), {Key: storage.KeyTypes, Version: p.Version}},
-		Ops:        []protocol.Op{{Put: storage.KeyTypes, Value: protocol.Encode(storage.Types{MachineTypes: list})}},
-	})
-	var conflict *storage.Conflict
-	if errors.As(err, &conflict) && conflict.Has(storage.KeyLeader) {
-		t.runner.lost(t.leadership.Term)
-		return nil
+	for _, txn := range t.runner.store.TypesWrites(stored, list, t.leadership.Guard()) {
+		_, err = t.runner.store.Txn(ctx, txn)
+		var conflict *storage.Conflict
+		if errors.As(err, &conflict) && conflict.Has(storage.KeyLeader) {
+			t.runner.lost(t.leadership.Term)
+			return nil
+		}
+		if err != nil {
+			return err
+		}
 	}
-	return err
+	return nil
 }
 
 // sameShapes compares types but for their prices, which move all the time.
--- a/internal/coordination/leader/writer.go
+++ b/internal/coordination/leader/writer.go
@@ -88,7 +88,7 @@
 			}
 			err = verr
 		case errors.Is(err, storage.ErrBadRequest):
-			w.t.log.Error("write rejected", "err", err, "ops", len(txn.Ops))
+			w.t.log.Error("write rejected", "err", err, "ops", len(txn.Ops), "key", firstKey(txn))
 			if len(batch) == 1 {
 				w.t.post(ctx, scheduler.WriteDone{ID: batch[0].ID})
 				return true
@@ -100,13 +100,30 @@
 			}
 			return true
 		}
-		w.t.log.Debug("write", "err", err)
+		w.logRetry(err, txn)
 		if !back.Wait(ctx) {
 			return false
 		}
 	}
 }
 
+// logRetry notes that a transaction is tried again. That the rate is used up is worth knowing, as ours should keep to it.
+func (w *writer) logRetry(err error, txn protocol.Txn) {
+	if errors.Is(err, storage.ErrRate) {
+		w.t.log.Info("write over the rate", "err", err, "ops", len(txn.Ops), "key", firstKey(txn))
+		return
+	}
+	w.t.log.Debug("write", "err", err, "key", firstKey(txn))
+}
+
+// firstKey names a transaction in the log.
+func firstKey(txn protocol.Txn) string {
+	if len(txn.Ops) == 0 {
+		return ""
+	}
+	return txn.Ops[0].Put + txn.Ops[0].Delete
+}
+
 // holds tells whether the state service already shows what a write was to bring about.
 func (w *writer) holds(ctx context.Context, o scheduler.WriteOut) (bool, uint64, error) {
 	var rev uint64
--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -32,7 +32,7 @@
 func (s *Scheduler) rentMachines(p pool, n int) {
 	s.rentalSequence++
 	h := &rental{name: fmt.Sprintf("h-%d-%d", s.cfg.Term, s.rentalSequence), state: rentalWriting, at: s.now,
-		record: storage.Rental{MachineType: p.kind, Zone: p.zone, Spot: p.spot, Count: min(n, limits.RentalMax)}}
+		record: storage.Rental{MachineType: p.kind, Zone: p.zone, Spot: p.spot, Count: min(n, s.rentalMost)}}
 	s.rentals[h.name] = h
 	s.note(false, "renting", "request", h.name, "type", p.kind, "zone", p.zone, "spot", p.spot, "count", h.record.Count)
 	s.writeRental(h)
--- a/internal/coordination/scheduler/model.go
+++ b/internal/coordination/scheduler/model.go
@@ -377,6 +377,8 @@
 	tookOver time.Duration
 	chunkLen int
 
+	rentalMost int // machines of one rental, so that its record fits
+
 	jobs     map[string]*job
 	closed   map[string]bool // jobs over in this term; a late record of one must not open it again
 	gone     map[string]bool // machines whose deletion was confirmed; late lists and reports may still name them
@@ -449,17 +451,19 @@
 		lease:    limits.Seconds(cfg.Workers.LeaseS),
 		report:   limits.Seconds(cfg.Workers.ReportS),
 		chunkLen: storage.ChunkTasks(cfg.State.ValueKB),
-		jobs:     map[string]*job{},
-		closed:   map[string]bool{},
-		gone:     map[string]bool{},
-		teams:    map[string]*team{},
-		classes:  map[string]*class{},
-		machines: map[string]*machine{},
-		types:    map[string]*protocol.MachineType{},
-		rentals:  map[string]*rental{},
-		pools:    map[pool]*poolState{},
-		writes:   map[uint64]pendingWrite{},
-		pass:     pass{refused: map[request]bool{}, refusedGangs: map[gangRequest]bool{}}, pressAgain: map[request]time.Duration{},
+
+		rentalMost: storage.RentalMachines(cfg.State.ValueKB),
+		jobs:       map[string]*job{},
+		closed:     map[string]bool{},
+		gone:       map[string]bool{},
+		teams:      map[string]*team{},
+		classes:    map[string]*class{},
+		machines:   map[string]*machine{},
+		types:      map[string]*protocol.MachineType{},
+		rentals:    map[string]*rental{},
+		pools:      map[pool]*poolState{},
+		writes:     map[uint64]pendingWrite{},
+		pass:       pass{refused: map[request]bool{}, refusedGangs: map[gangRequest]bool{}}, pressAgain: map[request]time.Duration{},
 		gangRoom:        map[gangKind]*gangDemand{},
 		inZone:          map[string]int{},
 		registrationsAt: now - limits.RegisterEvery,
--- a/internal/coordination/scheduler/plan.go
+++ b/internal/coordination/scheduler/plan.go
@@ -77,7 +77,7 @@
 		if st := s.pools[p]; st != nil && st.backoff > 0 {
 			most = 1
 		}
-		return max(most-asked[p], 0) * limits.RentalMax
+		return max(most-asked[p], 0) * s.rentalMost
 	}
 	offers = append(offers, s.pendingOffers()...)
 	fresh := map[pool]float64{}
@@ -105,8 +105,8 @@
 			s.boundAt = s.now + limits.SummaryEvery
 			s.note(true, "fleet at its bound", "machines", total, "wanted", n)
 		}
-		for n = min(n, s.fleetMax()-total); n > 0 && calls > 0; n -= limits.RentalMax {
-			total += min(n, limits.RentalMax)
+		for n = min(n, s.fleetMax()-total); n > 0 && calls > 0; n -= s.rentalMost {
+			total += min(n, s.rentalMost)
 			calls--
 			s.rentMachines(p, n)
 		}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -306,6 +306,10 @@
 	TxnOpsLeast = 4
 	// FinFrame is what a record of finished tasks needs beside the bitmap, in bytes, rounded up.
 	FinFrame = 128
+	// RentalFrame is what a rental's record needs beside the names of its machines, with names of a type and zone, in bytes, rounded up;
+	// MachineNameBytes is what each name needs, with room for longer ones than were seen.
+	RentalFrame      = 256
+	MachineNameBytes = 32
 	// PageFrame is what a page of registered machines needs beside its entries, and each entry beside its own JSON, in bytes, rounded up.
 	PageFrame = 16
 	// RegisterEvery is the least time between two writes of new machines: what comes up meanwhile goes into one, and a machine takes many
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -23,6 +23,7 @@
 	PrefixFin     = "fin/"
 	PrefixRental  = "hire/"
 	PrefixUp      = "up/"
+	PrefixTypes   = "type/"
 )
 
 // OpenKey is where a job that is not over is kept.
@@ -57,6 +58,9 @@
 // UpKey is where a page of machines that may hold tasks is kept.
 func UpKey(name string) string { return PrefixUp + name }
 
+// TypesKey is where a part of the machine types is kept.
+func TypesKey(part int) string { return fmt.Sprintf("%s%03d", PrefixTypes, part) }
+
 // Leader names the leading controller.
 type Leader struct {
 	Node  string `cbor:"Node" json:"Node"`
@@ -114,6 +118,12 @@
 	Machines    []string `cbor:"Rigs" json:"Rigs"` // machines that are not gone
 }
 
+// RentalMachines is how many machines a rental may be for, so that its record with their names stays below the value limit.
+func RentalMachines(valueKB float64) int {
+	fit := (int(valueKB*1024) - limits.RentalFrame) / limits.MachineNameBytes
+	return min(max(fit, 1), limits.RentalMax)
+}
+
 // Up is a machine that reported. It is written before the machine gets its first task, so a new leader knows
 // where tasks of earlier terms can be, and where to ask.
 type Up struct {
@@ -126,11 +136,50 @@
 	Machines []Up `cbor:"Rigs" json:"Rigs"`
 }
 
-// Types caches the machine types, so that a node can check submissions after a restart.
+// Types caches the machine types, so that a node can check submissions after a restart. They are kept under KeyTypes, or, if that would be too
+// large a value, in parts under PrefixTypes.
 type Types struct {
 	MachineTypes []protocol.MachineType `cbor:"Rigkinds" json:"Rigkinds"`
 }
 
+// TypesPart is one of several records that hold the machine types together.
+type TypesPart struct {
+	MachineTypes []protocol.MachineType `cbor:"Rigkinds" json:"Rigkinds"`
+	Parts        int                    `cbor:"Parts" json:"Parts"`
+}
+
+// SplitTypes cuts machine types into parts that fit; a type that is too large by itself gets a part of its own.
+func SplitTypes(types []protocol.MachineType, valueKB float64) []TypesPart {
+	var parts []TypesPart
+	for _, t := range types {
+		last := len(parts) - 1
+		if last >= 0 {
+			grown := TypesPart{append(parts[last].MachineTypes[:len(parts[last].MachineTypes):len(parts[last].MachineTypes)], t), limits.MaxMachineTypes}
+			if Fits(grown, valueKB) {
+				parts[last] = grown
+				continue
+			}
+		}
+		parts = append(parts, TypesPart{MachineTypes: []protocol.MachineType{t}})
+	}
+	for i := range parts {
+		parts[i].Parts = len(parts)
+	}
+	return parts
+}
+
+// JoinTypes puts parts together again. It returns false if some are missing, as while they are being written.
+func JoinTypes(parts []TypesPart) ([]protocol.MachineType, bool) {
+	var types []protocol.MachineType
+	for _, p := range parts {
+		if p.Parts != len(parts) {
+			return nil, false
+		}
+		types = append(types, p.MachineTypes...)
+	}
+	return types, len(parts) > 0
+}
+
 // Fin is a chunk of a job's finished tasks: bit i of Bits is task Base+i.
 type Fin struct {
 	Base int    `cbor:"Base" json:"Base"`
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -25,6 +25,8 @@
 var (
 	// ErrRefused: the service said that it did not carry the request out (429, 503), or nothing was sent.
 	ErrRefused = errors.New("state service refused")
+	// ErrRate: it was refused because more was asked than the service's rates allow. It is an ErrRefused as well.
+	ErrRate = errors.New("over the state service's rate")
 	// ErrUnclear: there was no answer; the request may have been carried out, or may still be.
 	ErrUnclear = errors.New("state service did not answer")
 	// ErrNoLease: the hold is over.
@@ -161,7 +163,9 @@
 		return nil, fmt.Errorf("%w: %w", ErrRefused, err)
 	case err != nil:
 		return nil, fmt.Errorf("%w: %w", ErrUnclear, err)
-	case m.Status == 429 || m.Status == 503:
+	case m.Status == 429:
+		return nil, fmt.Errorf("%w: %w", ErrRefused, ErrRate)
+	case m.Status == 503:
 		return nil, fmt.Errorf("%w: status %d", ErrRefused, m.Status)
 	}
 	return m, nil
