--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -77,7 +77,7 @@
 				"initial_size": 3, "zones": []string{"a"},
 				"teams":          []object{{"name": "demo", "cpus": 16, "cpus_max": 64, "gpus": 0, "gpus_max": 0}},
 				"objectives":     []object{},
-				"workers":        object{"report_s": 1, "lease_s": 10, "cancel_s": 30},
+				"workers":        object{"report_s": 1, "lease_s": 10, "gang_wait_s": 40, "gang_peer_s": 6, "cancel_s": 30},
 				"state":          object{"rps": 200, "write_rps": 50, "value_kb": 4, "txn_ops": 8},
 				"cloud":          object{"rps": 5, "list_lag_s": 1},
 				"machine_limits": object{"core_share": 0.5, "memory_mb": 128, "max_sockets": 500},
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"quillshunt/internal/config"
+	"quillshunt/internal/limits"
 	"quillshunt/internal/protocol"
 	"quillshunt/internal/transport"
 )
@@ -38,6 +39,8 @@
 	results sync.Mutex      // for what follows
 	done    map[string]bool // tasks that completed anywhere: their results are kept
 	copies  func(rig string) (time.Duration, bool)
+
+	gangs *gangBoard
 }
 
 // Start prepares the cloud; its machines end with the context.
@@ -46,11 +49,27 @@
 	c.rigs = map[string]*worker{}
 	c.hired = map[string][]string{}
 	c.done = map[string]bool{}
+	c.gangs = newGangBoard(c.complete)
 	if c.Times == (config.Workers{}) {
 		c.Times = config.Workers{ReportS: reportEvery.Seconds(), LeaseS: leaseFor.Seconds()}
 	}
 }
 
+// complete notes that a task is done.
+func (c *Cloud) complete(task string) {
+	c.results.Lock()
+	defer c.results.Unlock()
+	c.done[task] = true
+}
+
+func (c *Cloud) gangTimes() gangTimes {
+	times := gangTimes{gangWaitFor, gangPeerFor}
+	if c.Times.Gangs() {
+		times = gangTimes{limits.Seconds(*c.Times.GangWaitS), limits.Seconds(*c.Times.GangPeerS)}
+	}
+	return times
+}
+
 func (c *Cloud) dialer(from string) transport.Dialer {
 	if c.Net == nil {
 		return nil
@@ -123,9 +142,7 @@
 	w := c.rigs[name]
 	c.mu.Unlock()
 	if w != nil {
-		w.mu.Lock()
-		w.hungTill = time.Now().Add(d)
-		w.mu.Unlock()
+		w.hungTill.Store(time.Now().Add(d).UnixNano())
 	}
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -6,6 +6,7 @@
 	"net"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"quillshunt/internal/limits"
@@ -20,6 +21,9 @@
 	leaseFor    = 10 * time.Second
 	answerIn    = 4 * time.Second
 	tryNext     = time.Second
+
+	gangWaitFor = 40 * time.Second
+	gangPeerFor = 6 * time.Second
 )
 
 // worker is a machine of the stand-in cloud. Its tasks only wait for the time that their owner reckons with.
@@ -34,14 +38,15 @@
 	shift    uint64 // 0: not up, or gone
 	tally    uint64
 	baton    uint64
-	answered time.Time // when the last report was sent that was answered
-	hungTill time.Time
+	answered time.Time        // when the last report was sent that was answered
+	hungTill atomic.Int64     // in Unix nanoseconds; also read by other workers of a gang
 	tasks    map[string]*task // by piece and attempt
 }
 
 type task struct {
 	protocol.TaskReport
 	ends time.Time
+	gang *gang // nil if its job's tasks are independent
 }
 
 // run boots the machine and reports until the context ends.
@@ -129,7 +134,7 @@
 func (w *worker) awake(ctx context.Context) bool {
 	for {
 		w.mu.Lock()
-		hung := time.Until(w.hungTill)
+		hung := w.hangs()
 		if hung <= 0 {
 			w.expire()
 			w.mu.Unlock()
@@ -142,6 +147,9 @@
 	}
 }
 
+// hangs is for how long the machine does nothing yet.
+func (w *worker) hangs() time.Duration { return time.Until(time.Unix(0, w.hungTill.Load())) }
+
 // lapsed tells whether the lease is over; the caller has the lock.
 func (w *worker) lapsed() bool {
 	return time.Since(w.answered) > limits.Seconds(w.cloud.Times.LeaseS)
@@ -159,9 +167,12 @@
 // killAll ends and forgets all tasks; the caller has the lock.
 func (w *worker) killAll() {
 	for _, t := range w.tasks {
-		if t.State == protocol.Running {
+		if t.State == protocol.Running || t.State == protocol.Gathering {
 			w.watch(t.Task, false)
 		}
+		if t.gang != nil && t.State != protocol.Ended {
+			t.gang.leave(t.Task)
+		}
 	}
 	w.tasks = map[string]*task{}
 }
@@ -233,7 +244,10 @@
 	sort.Strings(keys)
 	for _, k := range keys {
 		t := w.tasks[k]
-		if t.State == protocol.Running && time.Now().After(t.ends) {
+		switch {
+		case t.gang != nil && t.State != protocol.Ended:
+			w.lookAtGang(t)
+		case t.State == protocol.Running && time.Now().After(t.ends):
 			w.end(t, protocol.ReasonDone)
 		}
 		r.Tasks = append(r.Tasks, t.TaskReport)
@@ -241,13 +255,20 @@
 	return r
 }
 
+// lookAtGang brings a task in line with its gang; the caller has the lock.
+func (w *worker) lookAtGang(t *task) {
+	shown := t.gang.look(t.Task)
+	t.State, t.Reason, t.Saved = shown.State, shown.Reason, shown.Saved
+	if t.State == protocol.Ended {
+		w.watch(t.Task, false)
+	}
+}
+
 // end ends a task that runs; the caller has the lock.
 func (w *worker) end(t *task, cause string) {
 	t.State, t.Reason = protocol.Ended, cause
 	if cause == protocol.ReasonDone {
-		w.cloud.results.Lock()
-		w.cloud.done[t.Task] = true
-		w.cloud.results.Unlock()
+		w.cloud.complete(t.Task)
 	}
 	w.watch(t.Task, false)
 }
@@ -263,6 +284,9 @@
 		case o.Verb == protocol.CommandStart && t == nil:
 			w.tasks[key] = w.begin(o)
 		case o.Verb == protocol.CommandStop && t != nil && t.State != protocol.Ended:
+			if t.gang != nil && o.GraceS != nil && t.gang.stop(t.Task, *o.GraceS) {
+				continue // it saves
+			}
 			w.end(t, protocol.ReasonHalted)
 		case o.Verb == protocol.CommandForget && t != nil && t.State == protocol.Ended:
 			delete(w.tasks, key)
@@ -290,6 +314,13 @@
 		t.Reason = protocol.ReasonDone
 		return t
 	}
+	if spec.Gang() {
+		t.State, t.Reason = protocol.Gathering, ""
+		t.gang = w.cloud.gangs.attempt(spec, o.Attempt, w.cloud.gangTimes())
+		t.gang.join(o.Task, func() bool { return w.hangs() > 0 })
+		w.watch(o.Task, true)
+		return t
+	}
 	t.State, t.Reason = protocol.Running, ""
 	t.ends = time.Now().Add(limits.Seconds(spec.EstimateS))
 	w.watch(o.Task, true)
@@ -309,10 +340,7 @@
 }
 
 func (w *worker) handle(req *transport.Message, rsp *transport.Responder) {
-	w.mu.Lock()
-	hung := time.Until(w.hungTill)
-	w.mu.Unlock()
-	if hung > 0 {
+	if hung := w.hangs(); hung > 0 {
 		time.AfterFunc(hung, func() { w.handle(req, rsp) })
 		return
 	}
