--- /dev/null
+++ b/internal/coordination/controller/meetings_gang_test.go
@@ -0,0 +1,138 @@
+package controller
+
+import (
+	"time"
+
+	"quillshunt/internal/limits"
+	"quillshunt/internal/protocol"
+	"quillshunt/internal/standin"
+)
+
+// asGang makes a job a gang of four tasks in one zone, that fills two machines.
+func asGang(sp *protocol.Spec) {
+	sp.Shape, sp.Tasks, sp.CPUs, sp.SameZone, sp.EstimateS, sp.CheckpointS, sp.SaveS = protocol.ShapeGang, 4, 4, true, 30, 10, 2
+}
+
+// seen waits until a job shows some number of tasks on machines.
+func (s *service) seen(j *job, tasks int) bool {
+	for range 400 {
+		if s.on(j) == tasks {
+			return true
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return false
+}
+
+// gangMeetings are troubles that meet gangs: a change of leaders in each state of a gang, lost and silent machines, late commands.
+var gangMeetings = []meeting{
+	{"a leader ends while a gang gathers, as one machine was not reached", func(s *service) {
+		s.warm(4, long)
+		lead, before := s.leader(), s.term()
+		held := s.cloud.Machines()[0]
+		s.net.Set(lead, held, standin.Hold)
+		s.net.Set(held, lead, standin.Hold)
+		gangs := []*job{s.submit(asGang), s.submit(asGang), s.submit(asGang)}
+		time.Sleep(3 * time.Second)
+		s.stop(lead)
+		s.takenOver(before)
+		s.net.Set(lead, held, standin.Open)
+		s.net.Set(held, lead, standin.Open)
+		for _, g := range gangs {
+			s.met(s.seen(g, 4), "a gang that runs under the new leader")
+		}
+		s.start(lead)
+	}},
+	{"a leader ends while a gang is being stopped for urgent work", func(s *service) {
+		s.warm(2, nil)
+		gangs := []*job{}
+		for range 4 {
+			gangs = append(gangs, s.submit(func(sp *protocol.Spec) { asGang(sp); sp.Team, sp.Priority, sp.EstimateS = "red", "low", 60 }))
+		}
+		s.met(s.seen(gangs[0], 4), "a gang that runs")
+		lead, before := s.leader(), s.term()
+		s.submit(func(sp *protocol.Spec) {
+			sp.Team, sp.Priority, sp.Tasks, sp.CPUs, sp.EstimateS, sp.DeadlineS = "red", "production", 4, 8, 15, 17
+		})
+		time.Sleep(500 * time.Millisecond)
+		s.stop(lead)
+		s.takenOver(before)
+		s.start(lead)
+		time.Sleep(30 * time.Second)
+	}},
+	{"a gang's machine is silent for longer than its lease, and the leader changes meanwhile", func(s *service) {
+		s.warm(2, nil)
+		g := s.submit(asGang)
+		s.met(s.seen(g, 4), "a gang that runs")
+		lost := s.machines(g)[:1]
+		s.reach(lost, standin.Hold, standin.Hold)
+		time.Sleep(2 * time.Second)
+		before := s.term()
+		s.restart(s.leader(), 3*time.Second)
+		s.takenOver(before)
+		time.Sleep(limits.Seconds(leaseS + 4))
+		s.reach(lost, standin.Open, standin.Open)
+	}},
+	{"machines with gangs hang, die, and are replaced, again and again", func(s *service) {
+		s.warm(2, nil)
+		for i := range 6 {
+			g := s.submit(asGang)
+			s.met(s.seen(g, 4), "a gang that runs")
+			ms := s.machines(g)
+			if i%2 == 0 {
+				s.cloud.Kill(ms[0])
+			} else {
+				s.cloud.Hang(ms[0], time.Duration(4+4*i)*time.Second)
+			}
+			time.Sleep(5 * time.Second)
+		}
+	}},
+	{"starts of a gang are held up, the gang is cancelled, and the starts arrive", func(s *service) {
+		s.warm(4, long)
+		all := s.cloud.Machines()
+		for _, m := range all[:len(all)/2] {
+			s.net.Set(s.leader(), m, standin.Hold)
+		}
+		g := s.submit(asGang)
+		time.Sleep(2 * time.Second)
+		s.met(s.cancel(g), "a cancellation")
+		time.Sleep(4 * time.Second)
+		for _, m := range all {
+			s.net.Set(s.leader(), m, standin.Open)
+		}
+		time.Sleep(limits.Seconds(cancelS))
+		s.met(s.on(g) == 0, "nothing of the gang")
+	}},
+	{"old reports of gangs arrive after newer ones, with leaders that change", func(s *service) {
+		s.warm(2, nil)
+		s.cloud.SetCopies(func(string) (time.Duration, bool) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return time.Duration(2000+s.r.IntN(30000)) * time.Millisecond, s.r.Float64() < 0.4
+		})
+		for range 4 {
+			g := s.submit(asGang)
+			s.met(s.seen(g, 4), "a gang that runs")
+			s.cloud.Kill(s.machines(g)[0])
+			time.Sleep(4 * time.Second)
+			s.restart(s.leader(), 500*time.Millisecond)
+		}
+		s.cloud.SetCopies(nil)
+	}},
+	{"two gangs each need the room that the other may have, and the team's limit holds one", func(s *service) {
+		s.warm(1, nil)
+		large := func(sp *protocol.Spec) { asGang(sp); sp.Team, sp.Tasks, sp.EstimateS = "red", 5, 10 }
+		a, b := s.submit(large), s.submit(large) // 20 CPUs each, of 32
+		s.met(s.seen(a, 5) || s.seen(b, 5), "one of them runs")
+		time.Sleep(60 * time.Second)
+	}},
+	{"the state service is down while gangs run, lose a machine and start again", func(s *service) {
+		s.warm(2, nil)
+		g := s.submit(asGang)
+		s.met(s.seen(g, 4), "a gang that runs")
+		s.state.SetDown(true)
+		s.cloud.Kill(s.machines(g)[0])
+		time.Sleep(25 * time.Second)
+		s.state.SetDown(false)
+	}},
+}
--- a/internal/coordination/controller/meetings_test.go
+++ b/internal/coordination/controller/meetings_test.go
@@ -24,11 +24,13 @@
 	}
 }
 
-// meetings are troubles that meet. Each day brings its meeting about, shows that it did, and ends calm.
-var meetings = []struct {
+// meeting is a day on which troubles meet. It brings its meeting about, shows that it did, and ends calm.
+type meeting struct {
 	name string
 	day  func(s *service)
-}{
+}
+
+var meetings = []meeting{
 	{"a quiet day", func(s *service) {
 		s.warm(4, nil)
 		s.met(s.cancel(s.pick(1)[0]), "a cancellation")
@@ -557,7 +559,7 @@
 			seeds = append(seeds, rand.Uint64()%1e6)
 		}
 	}
-	for _, m := range meetings {
+	for _, m := range slices.Concat(meetings, gangMeetings) {
 		for _, seed := range seeds {
 			t.Run(fmt.Sprintf("%s/%d", m.name, seed), func(t *testing.T) {
 				t.Parallel()
--- a/internal/coordination/controller/service_test.go
+++ b/internal/coordination/controller/service_test.go
@@ -69,6 +69,12 @@
 	capacity = 8.0 // CPUs of a machine
 )
 
+var (
+	gangWaitS = 20.0
+	gangPeerS = 5.0
+	workers   = config.Workers{ReportS: reportS, LeaseS: leaseS, CancelS: cancelS, GangWaitS: &gangWaitS, GangPeerS: &gangPeerS}
+)
+
 var teams = []config.Team{{Name: "red", CPUs: 16, CPUsMax: 32}, {Name: "blue", CPUs: 16, CPUsMax: 48}}
 
 // play runs a day of the service in a bubble of virtual time.
@@ -86,7 +92,7 @@
 			go standin.Serve(s.net.Listen("state-"+name+":1"), s.state.ServerFor(name, "", s.log))
 		}
 		s.cloud = &standin.Cloud{State: s.state, Controllers: controllers, Log: s.log, Net: s.net, Spec: s.spec, Watch: s.watch, Trouble: s.trouble,
-			Times: config.Workers{ReportS: reportS, LeaseS: leaseS},
+			Times: workers,
 			Types: []protocol.MachineType{{Name: "c8", CPUs: capacity, MemoryGB: 64, CacheGB: 50, FetchGBPerS: 1, Price: 1, SpotPrice: 0.4, BootS: 4, Zones: s.zones}}}
 		s.cloud.Start(ctx)
 		go standin.Serve(s.net.Listen("cloud:1"), s.cloud.Server(""))
@@ -142,7 +148,7 @@
 			set.Members = append(set.Members, config.Member{NodeName: other, Zone: s.zones[i], Address: other + ":8081"})
 		}
 	}
-	set.Facts = config.Facts{Zones: s.zones, Teams: teams, Workers: config.Workers{ReportS: reportS, LeaseS: leaseS, CancelS: cancelS},
+	set.Facts = config.Facts{Zones: s.zones, Teams: teams, Workers: workers,
 		State: config.State{RPS: 300, WriteRPS: 60, ValueKB: 4, TxnOps: 8}, Cloud: config.Cloud{RPS: 5, ListLagS: 2},
 		Machine: config.MachineLimits{CoreShare: 0.2, MemoryMB: 100, MaxSockets: 500}, SkewMs: 100}
 	return set
@@ -269,6 +275,13 @@
 	if !j.told.IsZero() && time.Since(j.told) > limits.Seconds(cancelS) {
 		s.fault("ran_cancelled: %s starts on %s %v after the word to the user", piece, rig, time.Since(j.told))
 	}
+	if j.spec.SameZone {
+		for p, on := range s.runs {
+			if owner(p) == j.spec.ID && s.cloud.Zone(on) != s.cloud.Zone(rig) && s.cloud.Zone(on) != "" && s.cloud.Zone(rig) != "" {
+				s.fault("wrong_place: %s in %s, %s in %s", piece, s.cloud.Zone(rig), p, s.cloud.Zone(on))
+			}
+		}
+	}
 	for _, team := range teams {
 		if used := s.used(team.Name); used > team.CPUsMax {
 			s.fault("quota: %s uses %v", team.Name, used)
