--- a/internal/coordination/scheduler/bench_test.go
+++ b/internal/coordination/scheduler/bench_test.go
@@ -12,17 +12,22 @@
 
 // BenchmarkReport is the leader's cost of a report on a full fleet with a backlog: each report ends one task and a new
 // one is placed, at several sizes, also with large jobs that are behind and
-// find no room, and with jobs that would stop others but may not. Run it for a few thousand reports: those jobs are pressing for some
+// find no room, with jobs that would stop others but may not, and with gangs that wait. Run it for a few thousand reports: those jobs are pressing for some
 // seconds only. It should hardly depend on fleet or backlog. Compare versions as a ratio in one run; the time itself says nothing.
 func BenchmarkReport(b *testing.B) {
-	for _, c := range []struct{ machines, jobs, behind, pressing int }{{48, 30, 0, 0}, {270, 100, 0, 0}, {1090, 300, 0, 0}, {1090, 300, 100, 0}, {1820, 500, 0, 200}} {
-		b.Run(fmt.Sprintf("machines=%d/jobs=%d/behind=%d/pressing=%d", c.machines, c.jobs, c.behind, c.pressing), func(b *testing.B) {
-			benchReport(b, c.machines, c.jobs, c.behind, c.pressing)
+	for _, c := range []backlog{{machines: 48, jobs: 30}, {machines: 270, jobs: 100}, {machines: 1090, jobs: 300}, {machines: 1090, jobs: 300, behind: 100},
+		{machines: 1820, jobs: 500, pressing: 200}, {machines: 4000, jobs: 500}, {machines: 4000, jobs: 500, gangs: 300}} {
+		b.Run(fmt.Sprintf("machines=%d/jobs=%d/behind=%d/pressing=%d/gangs=%d", c.machines, c.jobs, c.behind, c.pressing, c.gangs), func(b *testing.B) {
+			benchReport(b, c)
 		})
 	}
 }
 
-func benchReport(b *testing.B, machines, jobs, behind, pressing int) {
+// backlog is a fleet and what waits for it.
+type backlog struct{ machines, jobs, behind, pressing, gangs int }
+
+func benchReport(b *testing.B, c backlog) {
+	machines, jobs, behind, pressing := c.machines, c.jobs, c.behind, c.pressing
 	const cpus = 16
 	options := config.DefaultOptions()
 	options.Fleet.MaxMachines = machines
@@ -46,6 +51,12 @@
 		s.Step(JobSeen{ID: id, Version: uint64(jobs + i + 2), Age: 200 * time.Second, Rec: storage.Open{Spec: protocol.Spec{
 			ID: id, Class: "large", Team: "red", Shape: "sweep", Priority: "low", Tasks: 100, CPUs: cpus, MemoryGB: 1, Image: "i", EstimateS: 10}}}, 0)
 	}
+	for i := range c.gangs { // each asks for something else
+		id := fmt.Sprintf("job-%d", jobs+behind+pressing+i)
+		s.Step(JobSeen{ID: id, Version: uint64(jobs + behind + pressing + i + 2), Rec: storage.Open{Spec: protocol.Spec{
+			ID: id, Class: "gang", Team: "red", Shape: protocol.ShapeGang, SameZone: true, Priority: "standard", Tasks: 4 + i%9, CPUs: 2 + float64(i)/100,
+			MemoryGB: 1, Image: "i", EstimateS: 10}}}, 0)
+	}
 	now := time.Duration(0)
 	have := make([][]protocol.TaskReport, machines)
 	var tally uint64
--- a/internal/coordination/scheduler/finished_test.go
+++ b/internal/coordination/scheduler/finished_test.go
@@ -11,14 +11,15 @@
 	"quillshunt/internal/storage"
 )
 
-// finishedStore is the state service as far as records of finished tasks go.
-type finishedStore struct {
-	pairs map[string]pairOf
-	stamp uint64
+// memoryStore is the state service as far as transactions go.
+type memoryStore struct {
+	pairs   map[string]pairOf
+	stamp   uint64
+	changes int // carried out
 }
 
 // carryOut applies the writes among some effects and feeds the answers back. It returns the size of the largest transaction.
-func (f *finishedStore) carryOut(s *Scheduler, out []Effect, now time.Duration) (most int) {
+func (f *memoryStore) carryOut(s *Scheduler, out []Effect, now time.Duration) (most int) {
 	for _, e := range out {
 		w, ok := e.(WriteOut)
 		if !ok {
@@ -32,6 +33,7 @@
 		if done.OK {
 			f.stamp++
 			done.Version = f.stamp
+			f.changes += len(w.Ops)
 			for _, op := range w.Ops {
 				if op.Delete != "" {
 					delete(f.pairs, op.Delete)
@@ -46,7 +48,7 @@
 }
 
 // union are the finished tasks that a new leader would read.
-func (f *finishedStore) union(t *rapid.T, job string) map[int]bool {
+func (f *memoryStore) union(t *rapid.T, job string) map[int]bool {
 	done := map[int]bool{}
 	for key, p := range f.pairs {
 		if id, _, ok := storage.ParseFinKey(key); !ok || id != job {
@@ -73,7 +75,7 @@
 		for range rapid.IntRange(1, 60).Draw(t, "n") {
 			setBit(bits, rapid.IntRange(0, tasks-2).Draw(t, "task"))
 		}
-		f := &finishedStore{pairs: map[string]pairOf{storage.OpenKey(job): {stamp: 1}}, stamp: 10}
+		f := &memoryStore{pairs: map[string]pairOf{storage.OpenKey(job): {stamp: 1}}, stamp: 10}
 		s := New(Config{Term: 3, Teams: []config.Team{{Name: "red", CPUsMax: 100}}, Workers: config.Workers{ReportS: 2, LeaseS: 14, CancelS: 34},
 			State: state, Options: config.DefaultOptions()}, 0)
 		s.Step(JobSeen{ID: job, Version: 1, Rec: storage.Open{Spec: protocol.Spec{ID: job, Class: "c", Team: "red", Shape: protocol.ShapeArray,
--- a/internal/coordination/scheduler/gangplace.go
+++ b/internal/coordination/scheduler/gangplace.go
@@ -107,7 +107,7 @@
 // seatZones are the zones that may have room for n tasks of a gang, by name.
 func (s *Scheduler) seatZones(j *job, n int, pressing bool) []string {
 	slotsIn := map[string]int{}
-	for _, m := range s.pass.machines {
+	for _, m := range s.pass.candidates(pressing) {
 		if !s.allowed(j, m) || (m.heldFor != nil && m.heldFor != j) {
 			continue
 		}
@@ -149,14 +149,7 @@
 	for _, b := range j.bound {
 		a.inZone[b.machine.zone]++
 	}
-	from := s.pass.machines
-	if !pressing {
-		from = s.pass.roomy
-	}
-	a.shelves.clear()
-	for _, m := range from {
-		a.offer(m)
-	}
+	a.reshelve()
 	for len(a.seats) < n {
 		best := rank(a.shelves.cs)
 		if best < 0 || !a.take(best) {
@@ -234,14 +227,10 @@
 	return v
 }
 
-// reshelve looks at all machines anew, after room was freed on several or a zone was filled.
+// reshelve looks at all machines, at first and after room was freed on several or a zone was filled.
 func (a *seating) reshelve() {
-	from := a.s.pass.machines
-	if !a.pressing {
-		from = a.s.pass.roomy
-	}
 	a.shelves.clear()
-	for _, m := range from {
+	for _, m := range a.s.pass.candidates(a.pressing) {
 		a.offer(m)
 	}
 }
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -433,15 +433,19 @@
 	return true
 }
 
+// candidates are the machines to look at: a request that may stop nothing needs free room.
+func (p *pass) candidates(pressing bool) []*machine {
+	if pressing {
+		return p.machines
+	}
+	return p.roomy
+}
+
 // candidates are the machines that pass the filters for a task of the job, with their scores.
 func (s *Scheduler) candidates(j *job, pressing bool) *shelves {
 	p := &s.pass
 	p.shelves.clear()
-	from := p.machines
-	if !pressing {
-		from = p.roomy // a request that may stop nothing needs free room
-	}
-	for _, m := range from {
+	for _, m := range p.candidates(pressing) {
 		if c, ok := s.candidate(j, m, pressing, nil); ok {
 			p.shelves.add(c)
 		}
