--- a/internal/coordination/scheduler/gangroom.go
+++ b/internal/coordination/scheduler/gangroom.go
@@ -12,7 +12,7 @@
 
 // Gangs that should start sooner than a machine boots need room that is there already. Independent tasks would fill it, as they take whatever is
 // free, and a gang can't stop work of its own priority. So some machines are kept for gangs: as many as gangs lately used or waited for at
-// once, and room for one more. Who waits for long may use them all the same (see mayUseGangRoom).
+// once, and room for one more. Who waits for long may use them all the same (see yieldsGangRoom).
 
 // gangKind is what decides which machines gangs may use: gangs that may use the same ones share the room that is kept.
 type gangKind struct {
@@ -190,8 +190,8 @@
 	return false
 }
 
-// mayUseGangRoom tells whether a job may use machines that are kept for gangs: gangs, and whoever waits for so long that room must not be kept
+// yieldsGangRoom tells whether a job may use machines that are kept for gangs: gangs, and whoever waits for so long that room must not be kept
 // from it any longer.
-func (s *Scheduler) mayUseGangRoom(j *job) bool {
+func (s *Scheduler) yieldsGangRoom(j *job) bool {
 	return j.gang != nil || s.now > max(j.at, j.startedAt)+limits.GangRoomYields
 }
--- a/internal/coordination/scheduler/model.go
+++ b/internal/coordination/scheduler/model.go
@@ -140,8 +140,10 @@
 	backoff  time.Duration
 	resume   time.Duration // nothing is placed before
 
-	startedAt  time.Duration // when a task of it was last bound to a machine
-	pressAgain time.Duration // it looks for tasks to stop not before; see Scheduler.pressAgain
+	// usesGangRoom tells that it may use machines that are kept for gangs; see yieldsGangRoom.
+	usesGangRoom bool
+	startedAt    time.Duration // when a task of it was last bound to a machine
+	pressAgain   time.Duration // it looks for tasks to stop not before; see Scheduler.pressAgain
 }
 
 // free is how many tasks want a machine now.
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -239,7 +239,7 @@
 // placeJob places up to n of a job's tasks.
 func (s *Scheduler) placeJob(j *job, n int) {
 	p := &s.pass
-	ask := request{j.need, j.team, j.priority, j.guaranteed, j.spec.Spot, s.pressing(j), s.mayUseGangRoom(j)}
+	ask := request{j.need, j.team, j.priority, j.guaranteed, j.spec.Spot, s.pressing(j), j.usesGangRoom}
 	common := j.spec.Zone == "" && len(j.spec.MachineTypes) == 0 && !j.spec.SameZone && !j.spec.SpreadZones && len(j.failOn) == 0
 	if ask.pressing && (s.now < j.pressAgain || (common && s.now < s.pressAgain[ask])) {
 		ask.pressing = false
@@ -339,6 +339,7 @@
 			continue
 		}
 		c := claim{j: j}
+		j.usesGangRoom = s.yieldsGangRoom(j) // all of its tasks, until the order is made anew
 		c.slack, c.late = s.slack(j)
 		c.work = float64(j.free()) * j.estimate() * j.need.cpu *
 			(min(c.slack, limits.SlackCap) + limits.SlackBase).Seconds()
@@ -460,7 +461,7 @@
 		tasks += planned.tasks
 	}
 	over := !free.holds(j.need)
-	if m.gangRoom && !s.mayUseGangRoom(j) {
+	if m.gangRoom && !j.usesGangRoom {
 		return c, false
 	}
 	if over && !pressing || (m.heldFor != nil && m.heldFor != j) || !s.allowed(j, m) || tasks >= limits.MaxTasks {
--- a/internal/coordination/scheduler/plan.go
+++ b/internal/coordination/scheduler/plan.go
@@ -239,7 +239,7 @@
 }
 
 func (s *Scheduler) offerAllowed(j *job, o *offer) bool {
-	if o.m != nil && (j.avoids(o.m) || (o.m.gangRoom && !s.mayUseGangRoom(j))) {
+	if o.m != nil && (j.avoids(o.m) || (o.m.gangRoom && !j.usesGangRoom)) {
 		return false
 	}
 	return sizeOf(o.typ).holds(j.need) && s.allows(j, o.p.kind, o.p.zone, o.p.spot)
