--- a/internal/coordination/scheduler/finished.go
+++ b/internal/coordination/scheduler/finished.go
@@ -1,6 +1,9 @@
 package scheduler
 
 import (
+	"sort"
+
+	"quillshunt/internal/limits"
 	"quillshunt/internal/protocol"
 	"quillshunt/internal/storage"
 )
@@ -79,3 +82,87 @@
 		s.write(pendingWrite{kind: writeCleanup}, []protocol.Condition{{Key: storage.OpenKey(job)}}, []protocol.Op{{Delete: key}})
 	}
 }
+
+// taskDone notes a finished task. The worker is told to forget it only once this is durable.
+func (s *Scheduler) taskDone(j *job, idx int) (n int, ver uint64) {
+	n = idx / s.chunkLen
+	c := &j.chunks[n]
+	if j.gang != nil {
+		s.gangDone(j) // its tasks complete together
+	}
+	if !getBit(j.done, idx) {
+		setBit(j.done, idx)
+		j.doneCount++
+		c.sequence++
+	}
+	j.failOn = map[string]bool{}
+	j.backoff, j.resume = 0, 0
+	return n, c.sequence
+}
+
+// flush writes finished tasks down, those first that were not written for longest, within a share of the state service's rate: what is
+// not written is
+// kept by the workers, and done again only where one is lost. A job that is nearly over needs no record but its final one.
+func (s *Scheduler) flush() {
+	rate := s.cfg.State.WriteRPS * limits.FlushShare
+	s.flushes = min(s.flushes+rate*limits.TickEvery.Seconds(), max(rate, 1))
+	type part struct {
+		j *job
+		n int
+	}
+	var parts []part
+	for _, j := range s.queue {
+		s.finish(j)
+		if j.finishing || j.cancelled {
+			continue
+		}
+		for i := range j.chunks {
+			c := &j.chunks[i]
+			if c.durable == c.sequence || c.writing || j.coversUnwritten(i) || (!c.hurry && s.now < c.wroteAt+limits.FlushEvery) {
+				continue
+			}
+			if c.since == 0 {
+				c.since = s.now
+			}
+			if !c.hurry && s.now < c.since+limits.FlushPatience && s.nearlyOver(j) {
+				continue
+			}
+			parts = append(parts, part{j, i})
+		}
+	}
+	sort.SliceStable(parts, func(a, b int) bool {
+		x, y := &parts[a].j.chunks[parts[a].n], &parts[b].j.chunks[parts[b].n]
+		if x.hurry != y.hurry {
+			return x.hurry
+		}
+		return x.wroteAt < y.wroteAt
+	})
+	for _, x := range parts {
+		if s.flushes < 1 {
+			return
+		}
+		s.flushes--
+		j, c := x.j, &x.j.chunks[x.n]
+		c.writing, c.wroteAt, c.since, c.hurry = true, s.now, 0, false
+		key := storage.FinKey(j.id, x.n*s.chunkLen)
+		// Guarded by its own stamp as well: an earlier write of this chunk that was given up
+		// must not come late and undo this one.
+		s.write(pendingWrite{kind: writeChunk, job: j, n: x.n, sequence: c.sequence},
+			[]protocol.Condition{{Key: key, Version: c.version}},
+			[]protocol.Op{{Put: key, Value: protocol.Encode(storage.EncodeFin(j.done, x.n*s.chunkLen, s.chunkLen))}})
+	}
+}
+
+// nearlyOver tells whether all tasks of a job are done or on machines, and the last should be done soon.
+func (s *Scheduler) nearlyOver(j *job) bool {
+	if j.free() > 0 {
+		return false
+	}
+	est := limits.Seconds(j.occupies())
+	for _, b := range j.bound {
+		if b.at+est > s.now+limits.FlushPatience {
+			return false
+		}
+	}
+	return true
+}
