--- a/cmd/quillshunt/root.go
+++ b/cmd/quillshunt/root.go
@@ -11,7 +11,7 @@
 )
 
 // version is the release; see CHANGELOG.md.
-const version = "0.1.0"
+const version = "0.2.0"
 
 func newRoot() *cobra.Command {
 	var settingsPath, optionsPath string
--- /dev/null
+++ b/internal/coordination/scheduler/gang_bed_test.go
@@ -0,0 +1,138 @@
+package scheduler
+
+import (
+	"slices"
+	"testing"
+
+	"quillshunt/internal/protocol"
+	"quillshunt/internal/storage"
+)
+
+// gang submits a gang.
+func (b *bed) gang(id string, tasks int, cpus float64, change ...func(*protocol.Spec)) {
+	b.stamp++
+	spec := protocol.Spec{ID: id, Class: "g", Team: "red", Shape: protocol.ShapeGang, Priority: "standard", Tasks: tasks, CPUs: cpus, MemoryGB: 1,
+		Image: "i", EstimateS: 10, CheckpointS: 20, SaveS: 3}
+	for _, f := range change {
+		f(&spec)
+	}
+	b.step(JobSeen{ID: id, Version: 100 + b.stamp, Rec: storage.Open{Spec: spec}})
+}
+
+// gangBed is a bed whose workers are played: each takes its commands and reports what it has.
+type gangBed struct {
+	*bed
+	tasks [][]protocol.TaskReport // on each machine
+	deaf  map[int]bool            // machines that take no direct commands
+}
+
+func newGangBed(t *testing.T, machines int) *gangBed {
+	g := &gangBed{bed: newBed(t, machines), tasks: make([][]protocol.TaskReport, machines), deaf: map[int]bool{}}
+	g.reportAll()
+	g.reportAll()
+	return g
+}
+
+// startedGang is a gang that fills some of the machines, a machine for each of its tasks, and whose starts have arrived.
+func startedGang(t *testing.T, machines, tasks int) *gangBed {
+	g := newGangBed(t, machines)
+	g.gang("job-1", tasks, 8)
+	g.deliver(g.out)
+	return g
+}
+
+// reportAll lets every machine report once and take the answer; direct commands are taken as well.
+func (g *gangBed) reportAll() {
+	for i := range g.tasks {
+		orders := g.report(i, g.tasks[i]...)
+		out := g.out
+		g.take(i, orders)
+		g.deliver(out)
+	}
+}
+
+// deliver takes the direct commands among some effects.
+func (g *gangBed) deliver(out []Effect) {
+	for _, e := range out {
+		d, ok := e.(DirectOut)
+		if !ok {
+			continue
+		}
+		i := 0
+		for g.rig(i) != d.Machine {
+			i++
+		}
+		if g.deaf[i] {
+			continue
+		}
+		g.take(i, d.Commands)
+		g.tally++
+		more := g.step(DirectDone{ID: d.ID, Machine: d.Machine, Report: &protocol.Report{Machine: d.Machine, Address: "x:1", MachineType: "s8", Zone: "a",
+			Session: 1, Sequence: g.tally, Token: 3, Tasks: g.tasks[i]}})
+		g.deliver(more)
+	}
+}
+
+func (g *gangBed) take(i int, orders []protocol.Command) {
+	for _, o := range orders {
+		k := slices.IndexFunc(g.tasks[i], func(t protocol.TaskReport) bool { return t.Task == o.Task && t.Attempt == o.Attempt })
+		switch {
+		case o.Verb == protocol.CommandStart && k < 0:
+			g.tasks[i] = append(g.tasks[i], protocol.TaskReport{Task: o.Task, Attempt: o.Attempt, State: protocol.Fetching})
+		case o.Verb == protocol.CommandForget && k >= 0:
+			g.tasks[i] = slices.Delete(g.tasks[i], k, k+1)
+		}
+	}
+}
+
+// all sets what every task of a job shows.
+func (g *gangBed) all(job, state string) {
+	for i := range g.tasks {
+		for k := range g.tasks[i] {
+			if id, _, _ := protocol.ParseTaskName(g.tasks[i][k].Task); id == job && g.tasks[i][k].State != protocol.Ended {
+				g.tasks[i][k].State = state
+			}
+		}
+	}
+}
+
+// end ends a task on a machine.
+func (g *gangBed) end(i int, task, reason string) {
+	for k := range g.tasks[i] {
+		if g.tasks[i][k].Task == task {
+			g.tasks[i][k].State, g.tasks[i][k].Reason = protocol.Ended, reason
+		}
+	}
+}
+
+// where returns the machine that has a live task, and its attempt.
+func (g *gangBed) where(task string) (machine int, attempt uint64) {
+	for i := range g.tasks {
+		for _, t := range g.tasks[i] {
+			if t.Task == task && t.State != protocol.Ended {
+				return i, t.Attempt
+			}
+		}
+	}
+	return -1, 0
+}
+
+// commandsOf collects the commands of a verb that an event brings out, by direct commands and in the answer.
+func commandsOf(out []Effect, verb string) []protocol.Command {
+	var found []protocol.Command
+	for _, e := range out {
+		var orders []protocol.Command
+		switch e := e.(type) {
+		case DirectOut:
+			orders = e.Commands
+		case ReplyOut:
+			orders = e.Commands
+		}
+		for _, o := range orders {
+			if o.Verb == verb {
+				found = append(found, o)
+			}
+		}
+	}
+	return found
+}
--- a/internal/coordination/scheduler/gang_test.go
+++ b/internal/coordination/scheduler/gang_test.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"testing"
 	"time"
 
@@ -11,127 +10,6 @@
 	"quillshunt/internal/storage"
 )
 
-// gang submits a gang.
-func (b *bed) gang(id string, tasks int, cpus float64, change ...func(*protocol.Spec)) {
-	b.stamp++
-	spec := protocol.Spec{ID: id, Class: "g", Team: "red", Shape: protocol.ShapeGang, Priority: "standard", Tasks: tasks, CPUs: cpus, MemoryGB: 1,
-		Image: "i", EstimateS: 10, CheckpointS: 20, SaveS: 3}
-	for _, f := range change {
-		f(&spec)
-	}
-	b.step(JobSeen{ID: id, Version: 100 + b.stamp, Rec: storage.Open{Spec: spec}})
-}
-
-// gangBed is a bed whose workers are played: each takes its commands and reports what it has.
-type gangBed struct {
-	*bed
-	tasks [][]protocol.TaskReport // on each machine
-	deaf  map[int]bool            // machines that take no direct commands
-}
-
-func newGangBed(t *testing.T, machines int) *gangBed {
-	g := &gangBed{bed: newBed(t, machines), tasks: make([][]protocol.TaskReport, machines), deaf: map[int]bool{}}
-	g.reportAll()
-	g.reportAll()
-	return g
-}
-
-// reportAll lets every machine report once and take the answer; direct commands are taken as well.
-func (g *gangBed) reportAll() {
-	for i := range g.tasks {
-		orders := g.report(i, g.tasks[i]...)
-		out := g.out
-		g.take(i, orders)
-		g.deliver(out)
-	}
-}
-
-// deliver takes the direct commands among some effects.
-func (g *gangBed) deliver(out []Effect) {
-	for _, e := range out {
-		d, ok := e.(DirectOut)
-		if !ok {
-			continue
-		}
-		i := 0
-		for g.rig(i) != d.Machine {
-			i++
-		}
-		if g.deaf[i] {
-			continue
-		}
-		g.take(i, d.Commands)
-		g.tally++
-		more := g.step(DirectDone{ID: d.ID, Machine: d.Machine, Report: &protocol.Report{Machine: d.Machine, Address: "x:1", MachineType: "s8", Zone: "a",
-			Session: 1, Sequence: g.tally, Token: 3, Tasks: g.tasks[i]}})
-		g.deliver(more)
-	}
-}
-
-func (g *gangBed) take(i int, orders []protocol.Command) {
-	for _, o := range orders {
-		k := slices.IndexFunc(g.tasks[i], func(t protocol.TaskReport) bool { return t.Task == o.Task && t.Attempt == o.Attempt })
-		switch {
-		case o.Verb == protocol.CommandStart && k < 0:
-			g.tasks[i] = append(g.tasks[i], protocol.TaskReport{Task: o.Task, Attempt: o.Attempt, State: protocol.Fetching})
-		case o.Verb == protocol.CommandForget && k >= 0:
-			g.tasks[i] = slices.Delete(g.tasks[i], k, k+1)
-		}
-	}
-}
-
-// all sets what every task of a job shows.
-func (g *gangBed) all(job, state string) {
-	for i := range g.tasks {
-		for k := range g.tasks[i] {
-			if id, _, _ := protocol.ParseTaskName(g.tasks[i][k].Task); id == job && g.tasks[i][k].State != protocol.Ended {
-				g.tasks[i][k].State = state
-			}
-		}
-	}
-}
-
-// end ends a task on a machine.
-func (g *gangBed) end(i int, task, reason string) {
-	for k := range g.tasks[i] {
-		if g.tasks[i][k].Task == task {
-			g.tasks[i][k].State, g.tasks[i][k].Reason = protocol.Ended, reason
-		}
-	}
-}
-
-// where returns the machine that has a live task, and its attempt.
-func (g *gangBed) where(task string) (machine int, attempt uint64) {
-	for i := range g.tasks {
-		for _, t := range g.tasks[i] {
-			if t.Task == task && t.State != protocol.Ended {
-				return i, t.Attempt
-			}
-		}
-	}
-	return -1, 0
-}
-
-// commandsOf collects the commands of a verb that an event brings out, by direct commands and in the answer.
-func commandsOf(out []Effect, verb string) []protocol.Command {
-	var found []protocol.Command
-	for _, e := range out {
-		var orders []protocol.Command
-		switch e := e.(type) {
-		case DirectOut:
-			orders = e.Commands
-		case ReplyOut:
-			orders = e.Commands
-		}
-		for _, o := range orders {
-			if o.Verb == verb {
-				found = append(found, o)
-			}
-		}
-	}
-	return found
-}
-
 // TestGangTogether: a gang gets all its machines in one pass and one attempt number, or none; a smaller one behind it is not kept waiting.
 func TestGangTogether(t *testing.T) {
 	b := newGangBed(t, 2)
@@ -188,9 +66,7 @@
 // TestGangReplacement: a task that is lost while the gang gathers gets another machine under the same attempt number, never the one that may
 // know that attempt; under a new leader as well, which learns the number from reports.
 func TestGangReplacement(t *testing.T) {
-	b := newGangBed(t, 3)
-	b.gang("job-1", 2, 8)
-	b.deliver(b.out)
+	b := startedGang(t, 3, 2)
 	lostOn, attempt := b.where("job-1/0")
 	other, _ := b.where("job-1/1")
 	b.all("job-1", protocol.Gathering)
@@ -208,9 +84,7 @@
 
 // TestGangNotReplacedTooLate: without room for a lost task the whole gang is stopped, and waits again under a new attempt.
 func TestGangNotReplacedTooLate(t *testing.T) {
-	b := newGangBed(t, 2)
-	b.gang("job-1", 2, 8)
-	b.deliver(b.out)
+	b := startedGang(t, 2, 2)
 	lostOn, attempt := b.where("job-1/0")
 	other, _ := b.where("job-1/1")
 	b.all("job-1", protocol.Gathering)
@@ -232,9 +106,7 @@
 // TestGangLostWhileRunning: what is left of a gang that lost a task is ended at once, and the next attempt starts only when the last task of
 // the old one is gone: a task that is still on its machine would run twice.
 func TestGangLostWhileRunning(t *testing.T) {
-	b := newGangBed(t, 3)
-	b.gang("job-1", 2, 8)
-	b.deliver(b.out)
+	b := startedGang(t, 3, 2)
 	lostOn, attempt := b.where("job-1/0")
 	other, _ := b.where("job-1/1")
 	b.all("job-1", protocol.Running)
@@ -266,9 +138,7 @@
 // TestGangStopsAsAWhole: a notice for one machine stops the gang on all, in one step, with time to save, however many direct commands are on
 // their way.
 func TestGangStopsAsAWhole(t *testing.T) {
-	b := newGangBed(t, 3)
-	b.gang("job-1", 3, 8)
-	b.deliver(b.out)
+	b := startedGang(t, 3, 3)
 	b.all("job-1", protocol.Running)
 	b.reportAll()
 	b.s.directs = limits.DirectsMost
@@ -324,9 +194,7 @@
 // TestGangDone: when one task is done all are, so the job is, also while reports of the others are still to come; but their machines stay
 // bound.
 func TestGangDone(t *testing.T) {
-	b := newGangBed(t, 2)
-	b.gang("job-1", 2, 8)
-	b.deliver(b.out)
+	b := startedGang(t, 2, 2)
 	i, _ := b.where("job-1/0")
 	b.all("job-1", protocol.Running)
 	b.reportAll()
@@ -353,9 +221,7 @@
 
 // TestGangIncomplete: a gang whose tasks gave up waiting is neither the machines' fault nor the job's, and starts again as a whole.
 func TestGangIncomplete(t *testing.T) {
-	b := newGangBed(t, 3) // with room for another in place of the one that gave up; but the rest will give up as well
-	b.gang("job-1", 2, 8)
-	b.deliver(b.out)
+	b := startedGang(t, 3, 2) // with room for another in place of the one that gave up; but the rest will give up as well
 	i, attempt := b.where("job-1/0")
 	k, _ := b.where("job-1/1")
 	b.all("job-1", protocol.Gathering)
@@ -407,9 +273,7 @@
 // TestGangCancelled: a cancelled gang is ended in every state, at once and without saving.
 func TestGangCancelled(t *testing.T) {
 	for _, state := range []string{protocol.Fetching, protocol.Gathering, protocol.Running} {
-		b := newGangBed(t, 2)
-		b.gang("job-1", 2, 8)
-		b.deliver(b.out)
+		b := startedGang(t, 2, 2)
 		b.all("job-1", state)
 		b.reportAll()
 		b.stamp++
@@ -475,9 +339,7 @@
 
 // TestGangSavesBeforeItsMachineGoes: a machine that fails its tasks is returned only after gangs on it have had the time to save.
 func TestGangSavesBeforeItsMachineGoes(t *testing.T) {
-	b := newGangBed(t, 2)
-	b.gang("job-1", 2, 8)
-	b.deliver(b.out)
+	b := startedGang(t, 2, 2)
 	b.all("job-1", protocol.Running)
 	b.reportAll()
 	m := b.s.machines[b.rig(0)]
