--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -96,8 +96,8 @@
 	TxnOps   *int     `json:"txn_ops"`
 }
 
-// Lowest returns the limits that hold both now and after the announced change: for each limit the lower one. All requests keep to these from
-// the start, so that the moment of the change does not matter.
+// Lowest returns the limits that hold both now and after the announced change: for each limit the lower one. All requests keep to
+// these from the start, so that the moment of the change does not matter.
 func (s State) Lowest() State {
 	if s.Next == nil {
 		return s
@@ -196,7 +196,9 @@
 		positive("facts.workers.cancel_s", w.CancelS),
 	}
 	if w.GangWaitS != nil || w.GangPeerS != nil {
-		errs = append(errs, positiveIfPresent("facts.workers.gang_wait_s", w.GangWaitS), positiveIfPresent("facts.workers.gang_peer_s", w.GangPeerS))
+		errs = append(errs,
+			positiveIfPresent("facts.workers.gang_wait_s", w.GangWaitS),
+			positiveIfPresent("facts.workers.gang_peer_s", w.GangPeerS))
 	}
 	return first(errs)
 }
--- a/internal/coordination/scheduler/bench_test.go
+++ b/internal/coordination/scheduler/bench_test.go
@@ -10,10 +10,10 @@
 	"quillshunt/internal/storage"
 )
 
-// BenchmarkReport is the leader's cost of a report on a full fleet with a backlog: each report ends one task and a new
-// one is placed, at several sizes, also with large jobs that are behind and
-// find no room, with jobs that would stop others but may not, and with gangs that wait. Run it for a few thousand reports: those jobs are pressing for some
-// seconds only. It should hardly depend on fleet or backlog. Compare versions as a ratio in one run; the time itself says nothing.
+// BenchmarkReport is the leader's cost of a report on a full fleet with a backlog: each report ends one task and a new one is
+// placed, at several sizes, also with large jobs that are behind and find no room, with jobs that would stop others but may not, and
+// with gangs that wait. Run it for a few thousand reports: those jobs are pressing for some seconds only. It should hardly depend on
+// fleet or backlog. Compare versions as a ratio in one run; the time itself says nothing.
 func BenchmarkReport(b *testing.B) {
 	for _, c := range []backlog{{machines: 48, jobs: 30}, {machines: 270, jobs: 100}, {machines: 1090, jobs: 300}, {machines: 1090, jobs: 300, behind: 100},
 		{machines: 1820, jobs: 500, pressing: 200}, {machines: 4000, jobs: 500}, {machines: 4000, jobs: 500, gangs: 300}} {
--- a/internal/coordination/scheduler/filter.go
+++ b/internal/coordination/scheduler/filter.go
@@ -72,7 +72,8 @@
 	return &p.shelves
 }
 
-// candidate filters and scores one machine, as it would stand with the seats that the gang at hand has there already; nil if there are none.
+// candidate filters and scores one machine, as it would stand with the seats that the gang at hand has there already; nil if there
+// are none.
 func (s *Scheduler) candidate(j *job, m *machine, pressing bool, planned *outlook) (c candidate, ok bool) {
 	free, tasks := planned.freeRoom(m), len(m.bindings)+len(m.exits)
 	if planned != nil {
--- a/internal/coordination/scheduler/finished.go
+++ b/internal/coordination/scheduler/finished.go
@@ -8,9 +8,9 @@
 	"quillshunt/internal/storage"
 )
 
-// Records of finished tasks may be of another size than the chunks of this term: earlier versions and other limits of the state service cut
-// them differently. All of them are read as their union. A record that begins where a chunk of ours does is replaced by it, once what it tells
-// of later chunks is written elsewhere; the others stay as they are until the job is over.
+// Records of finished tasks may be of another size than the chunks of this term: earlier versions and other limits of the state
+// service cut them differently. All of them are read as their union. A record that begins where a chunk of ours does is replaced by
+// it, once what it tells of later chunks is written elsewhere; the others stay as they are until the job is over.
 
 // finLoaded takes a record of finished tasks, read at the start of the term.
 func (s *Scheduler) finLoaded(e FinishedLoaded) {
@@ -75,8 +75,8 @@
 	s.orphans = nil
 }
 
-// removeFinished removes records of finished tasks of a job that is over, each by a write of its own, as there may be more than a transaction
-// takes.
+// removeFinished removes records of finished tasks of a job that is over, each by a write of its own, as there may be more than a
+// transaction takes.
 func (s *Scheduler) removeFinished(job string, keys []string) {
 	for _, key := range keys {
 		s.write(pendingWrite{kind: writeCleanup}, []protocol.Condition{{Key: storage.OpenKey(job)}}, []protocol.Op{{Delete: key}})
--- a/internal/coordination/scheduler/gang.go
+++ b/internal/coordination/scheduler/gang.go
@@ -171,8 +171,8 @@
 	}
 }
 
-// abandonGang ends what is left of a gang that has lost a task after its start. Its work since the last checkpoint is lost already; the rest
-// would only wait until they notice, so that the next attempt would begin later.
+// abandonGang ends what is left of a gang that has lost a task after its start. Its work since the last checkpoint is lost already;
+// the rest would only wait until they notice, so that the next attempt would begin later.
 func (s *Scheduler) abandonGang(g *gang) {
 	for _, b := range g.job.bound {
 		b.abrupt = true
--- a/internal/coordination/scheduler/gang_test.go
+++ b/internal/coordination/scheduler/gang_test.go
@@ -63,8 +63,8 @@
 	}
 }
 
-// TestGangReplacement: a task that is lost while the gang gathers gets another machine under the same attempt number, never the one that may
-// know that attempt; under a new leader as well, which learns the number from reports.
+// TestGangReplacement: a task that is lost while the gang gathers gets another machine under the same attempt number, never the one
+// that may know that attempt; under a new leader as well, which learns the number from reports.
 func TestGangReplacement(t *testing.T) {
 	b := startedGang(t, 3, 2)
 	lostOn, attempt := b.where("job-1/0")
@@ -103,8 +103,8 @@
 	}
 }
 
-// TestGangLostWhileRunning: what is left of a gang that lost a task is ended at once, and the next attempt starts only when the last task of
-// the old one is gone: a task that is still on its machine would run twice.
+// TestGangLostWhileRunning: what is left of a gang that lost a task is ended at once, and the next attempt starts only when the last
+// task of the old one is gone: a task that is still on its machine would run twice.
 func TestGangLostWhileRunning(t *testing.T) {
 	b := startedGang(t, 3, 2)
 	lostOn, attempt := b.where("job-1/0")
@@ -135,8 +135,8 @@
 	}
 }
 
-// TestGangStopsAsAWhole: a notice for one machine stops the gang on all, in one step, with time to save, however many direct commands are on
-// their way.
+// TestGangStopsAsAWhole: a notice for one machine stops the gang on all, in one step, with time to save, however many direct
+// commands are on their way.
 func TestGangStopsAsAWhole(t *testing.T) {
 	b := startedGang(t, 3, 3)
 	b.all("job-1", protocol.Running)
@@ -169,8 +169,8 @@
 	}
 }
 
-// TestGangAfterTakeOver: a new leader completes a gang that gathers, under the number that its reports show; it ends one that ran and has lost
-// a task.
+// TestGangAfterTakeOver: a new leader completes a gang that gathers, under the number that its reports show; it ends one that ran
+// and has lost a task.
 func TestGangAfterTakeOver(t *testing.T) {
 	for _, c := range []struct {
 		state string
@@ -314,8 +314,8 @@
 	}
 }
 
-// TestCommittedRoomIsKept: the start of a more urgent task, for which room was promised that is not free yet, does not take the room that a gang
-// was committed to.
+// TestCommittedRoomIsKept: the start of a more urgent task, for which room was promised that is not free yet, does not take the room
+// that a gang was committed to.
 func TestCommittedRoomIsKept(t *testing.T) {
 	b := newBed(t, 1)
 	b.report(0)
@@ -358,8 +358,8 @@
 	}
 }
 
-// TestGangRoom: where gangs should start sooner than a machine boots, independent tasks leave the room that gangs lately used, until they have
-// waited for long.
+// TestGangRoom: where gangs should start sooner than a machine boots, independent tasks leave the room that gangs lately used, until
+// they have waited for long.
 func TestGangRoom(t *testing.T) {
 	b := newGangBed(t, 2)
 	b.s.cfg.Objectives = []config.Objective{{Kind: "wait", Class: "g", WithinS: 2, Share: 0.9}}
--- a/internal/coordination/scheduler/gangplace.go
+++ b/internal/coordination/scheduler/gangplace.go
@@ -7,9 +7,9 @@
 	"quillshunt/internal/limits"
 )
 
-// The paper's extension to runs that are placed and stopped as a whole: the request for a gang asks for one machine after the other by the
-// plain filter, ranking and choice of victims, on views that count what the tasks before it take, and takes effect only if all of them found
-// one.
+// The paper's extension to runs that are placed and stopped as a whole: the request for a gang asks for one machine after the other
+// by the plain filter, ranking and choice of victims, on views that count what the tasks before it take, and takes effect only if
+// all of them found one.
 
 // gangRequest is what decides whether a gang finds room, for gangs that ask for nothing particular.
 type gangRequest struct {
@@ -67,7 +67,11 @@
 	if !j.teamAllows() {
 		return false
 	}
-	ask := gangRequest{request{j.need, j.team, j.priority, j.guaranteed, j.spec.Spot, s.pressing(j), true}, n, j.spec.SameZone, j.spec.SpreadZones}
+	ask := gangRequest{
+		request:  request{j.need, j.team, j.priority, j.guaranteed, j.spec.Spot, s.pressing(j), true},
+		tasks:    n,
+		sameZone: j.spec.SameZone, spreadZones: j.spec.SpreadZones,
+	}
 	common := j.spec.Zone == "" && len(j.spec.MachineTypes) == 0 && len(j.failOn) == 0 && len(j.bound) == 0
 	if s.now < j.pressAgain {
 		ask.pressing = false
@@ -285,8 +289,8 @@
 	}
 }
 
-// reserveGang keeps machines for a gang that waits for long and finds no room, all in one zone if it must be: those with the most free room,
-// and those that were kept before first.
+// reserveGang keeps machines for a gang that waits for long and finds no room, all in one zone if it must be: those with the most
+// free room, and those that were kept before first.
 func (s *Scheduler) reserveGang(j *job) {
 	p := &s.pass
 	if j.free() == 0 || p.holds <= 0 || !j.teamAllows() {
--- a/internal/coordination/scheduler/gangroom.go
+++ b/internal/coordination/scheduler/gangroom.go
@@ -10,9 +10,9 @@
 	"quillshunt/internal/limits"
 )
 
-// Gangs that should start sooner than a machine boots need room that is there already. Independent tasks would fill it, as they take whatever is
-// free, and a gang can't stop work of its own priority. So some machines are kept for gangs: as many as gangs lately used or waited for at
-// once, and room for one more. Who waits for long may use them all the same (see yieldsGangRoom).
+// Gangs that should start sooner than a machine boots need room that is there already. Independent tasks would fill it, as they take
+// whatever is free, and a gang can't stop work of its own priority. So some machines are kept for gangs: as many as gangs lately
+// used or waited for at once, and room for one more. Who waits for long may use them all the same (see yieldsGangRoom).
 
 // gangKind is what decides which machines gangs may use: gangs that may use the same ones share the room that is kept.
 type gangKind struct {
@@ -99,7 +99,10 @@
 		kinds = append(kinds, kind)
 	}
 	slices.SortFunc(kinds, func(a, b gangKind) int {
-		return cmp.Or(strings.Compare(a.zone, b.zone), strings.Compare(a.types, b.types), compareBool(a.spot, b.spot), compareBool(a.sameZone, b.sameZone))
+		return cmp.Or(
+			strings.Compare(a.zone, b.zone), strings.Compare(a.types, b.types),
+			compareBool(a.spot, b.spot), compareBool(a.sameZone, b.sameZone),
+		)
 	})
 	for _, kind := range kinds {
 		s.keepRoomFor(s.gangRoom[kind], fresh, may)
@@ -128,7 +131,11 @@
 		}
 	}
 	slices.SortStableFunc(ms, func(a, b *machine) int {
-		return cmp.Or(compareBool(b.wasGangRoom, a.wasGangRoom), compareBool(b.hasGang(), a.hasGang()), cmp.Compare(b.freeRoom().cpu, a.freeRoom().cpu))
+		return cmp.Or(
+			compareBool(b.wasGangRoom, a.wasGangRoom),
+			compareBool(b.hasGang(), a.hasGang()),
+			cmp.Compare(b.freeRoom().cpu, a.freeRoom().cpu),
+		)
 	})
 	for _, m := range ms {
 		if want <= 0 {
@@ -190,8 +197,8 @@
 	return false
 }
 
-// yieldsGangRoom tells whether a job may use machines that are kept for gangs: gangs, and whoever waits for so long that room must not be kept
-// from it any longer.
+// yieldsGangRoom tells whether a job may use machines that are kept for gangs: gangs, and whoever waits for so long that room must
+// not be kept from it any longer.
 func (s *Scheduler) yieldsGangRoom(j *job) bool {
 	return j.gang != nil || s.now > max(j.at, j.startedAt)+limits.GangRoomYields
 }
--- a/internal/coordination/scheduler/plan.go
+++ b/internal/coordination/scheduler/plan.go
@@ -312,8 +312,8 @@
 	}
 }
 
-// wholeMachines rounds up how many machines of a pool are to be rented: a gang needs all of its machines, and who has waited for long for a part
-// of one would else wait as long as other machines run.
+// wholeMachines rounds up how many machines of a pool are to be rented: a gang needs all of its machines, and who has waited for
+// long for a part of one would else wait as long as other machines run.
 func wholeMachines(fresh map[pool]float64, p pool) {
 	fresh[p] = math.Ceil(fresh[p] - limits.Epsilon)
 }
@@ -358,8 +358,8 @@
 	return sizeOf(o.typ).cpu / float64(per)
 }
 
-// startable is how many tasks of a job the offer can start within a time, of the number that it holds; a fraction where tasks in use will be
-// over by then.
+// startable is how many tasks of a job the offer can start within a time, of the number that it holds; a fraction where tasks in use
+// will be over by then.
 func (o *offer) startable(j *job, per int, within float64) float64 {
 	free := sizeOf(o.typ).cpu - o.used
 	if w := within - o.ready; w > 0 && o.load > 0 {
--- a/internal/coordination/scheduler/planzones.go
+++ b/internal/coordination/scheduler/planzones.go
@@ -2,8 +2,8 @@
 
 import "math"
 
-// planZones is how many more tasks of a job may be planned in each zone. Only gangs need it: their tasks are planned together, while those of
-// an array are bound one by one, and where the next may go is seen from the bound ones.
+// planZones is how many more tasks of a job may be planned in each zone. Only gangs need it: their tasks are planned together, while
+// those of an array are bound one by one, and where the next may go is seen from the bound ones.
 type planZones struct {
 	only   string // the one zone of a gang that must be in one; "" while it is not chosen
 	most   int    // in a zone
--- a/internal/coordination/scheduler/registration_test.go
+++ b/internal/coordination/scheduler/registration_test.go
@@ -44,9 +44,9 @@
 	return out
 }
 
-// TestRegistrationsTogether: machines of several rentals that come up at once are registered by few writes, each within the size of a value;
-// none is registered before its
-// rental's record names it, as a successor ignores registrations that no rental accounts for; and a successor finds all of them.
+// TestRegistrationsTogether: machines of several rentals that come up at once are registered by few writes, each within the size of
+// a value; none is registered before its rental's record names it, as a successor ignores registrations that no rental accounts for;
+// and a successor finds all of them.
 func TestRegistrationsTogether(t *testing.T) {
 	b := newBed(t, 0)
 	const rentals, each = 4, 50
--- a/internal/coordination/scheduler/report.go
+++ b/internal/coordination/scheduler/report.go
@@ -262,7 +262,9 @@
 }
 
 func (s *Scheduler) reachable(m *machine) bool {
-	return m.directID == 0 && !m.relayed && m.addr != "" && m.seen && m.fenced && !m.deleting && s.now >= m.mute && s.now <= m.heard+s.stale() && m.session > m.endedSession
+	known := m.addr != "" && m.seen && m.fenced && m.session > m.endedSession
+	fresh := s.now >= m.mute && s.now <= m.heard+s.stale()
+	return known && fresh && m.directID == 0 && !m.relayed && !m.deleting
 }
 
 func (s *Scheduler) send(m *machine, orders []protocol.Command) {
@@ -311,9 +313,9 @@
 	}
 }
 
-// dispatchGangStops sends the stops of gangs ahead of all else, however many commands are on their way: a gang of which one task is told too
-// late loses the work of all. A machine that takes no direct command now is told in the answer to its next report, or once the command that
-// is on its way is answered.
+// dispatchGangStops sends the stops of gangs ahead of all else, however many commands are on their way: a gang of which one task is
+// told too late loses the work of all. A machine that takes no direct command now is told in the answer to its next report, or once
+// the command that is on its way is answered.
 func (s *Scheduler) dispatchGangStops() {
 	urgent := s.urgent
 	s.urgent = nil
--- a/internal/coordination/scheduler/world_gang_test.go
+++ b/internal/coordination/scheduler/world_gang_test.go
@@ -9,8 +9,8 @@
 	"quillshunt/internal/protocol"
 )
 
-// The world's workers run gangs as the protocol says: the tasks of one attempt find each other, start and complete together, notice when one
-// is gone, and save together or not at all.
+// The world's workers run gangs as the protocol says: the tasks of one attempt find each other, start and complete together, notice
+// when one is gone, and save together or not at all.
 
 // gangTruth is one attempt of a gang.
 type gangTruth struct {
--- a/internal/standin/gang.go
+++ b/internal/standin/gang.go
@@ -9,8 +9,8 @@
 	"quillshunt/internal/protocol"
 )
 
-// gang is one attempt of a job whose tasks run at the same time or not at all. Its tasks are on different workers and find each other by the
-// attempt number.
+// gang is one attempt of a job whose tasks run at the same time or not at all. Its tasks are on different workers and find each
+// other by the attempt number.
 type gang struct {
 	spec  protocol.Spec
 	times gangTimes
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -93,8 +94,8 @@
 	CancelMs  int64         `cbor:"CancelMs" json:"CancelMs"` // time of day before which nobody was told that it is cancelled
 }
 
-// Shortened returns the record of a cancelled job so that it fits, if it was stored when values could be larger: nothing is placed any more, so
-// it can do without what only says where and when a task may start.
+// Shortened returns the record of a cancelled job so that it fits, if it was stored when values could be larger: nothing is placed
+// any more, so it can do without what only says where and when a task may start.
 func (o Open) Shortened(valueKB float64) Open {
 	if !o.Cancelled || Fits(o, valueKB) {
 		return o
@@ -136,8 +137,8 @@
 	Machines []Up `cbor:"Rigs" json:"Rigs"`
 }
 
-// Types caches the machine types, so that a node can check submissions after a restart. They are kept under KeyTypes, or, if that would be too
-// large a value, in parts under PrefixTypes.
+// Types caches the machine types, so that a node can check submissions after a restart. They are kept under KeyTypes, or, if that
+// would be too large a value, in parts under PrefixTypes.
 type Types struct {
 	MachineTypes []protocol.MachineType `cbor:"Rigkinds" json:"Rigkinds"`
 }
@@ -152,9 +153,8 @@
 func SplitTypes(types []protocol.MachineType, valueKB float64) []TypesPart {
 	var parts []TypesPart
 	for _, t := range types {
-		last := len(parts) - 1
-		if last >= 0 {
-			grown := TypesPart{append(parts[last].MachineTypes[:len(parts[last].MachineTypes):len(parts[last].MachineTypes)], t), limits.MaxMachineTypes}
+		if last := len(parts) - 1; last >= 0 {
+			grown := TypesPart{MachineTypes: append(slices.Clone(parts[last].MachineTypes), t), Parts: limits.MaxMachineTypes}
 			if Fits(grown, valueKB) {
 				parts[last] = grown
 				continue
