--- a/internal/coordination/scheduler/gang.go
+++ b/internal/coordination/scheduler/gang.go
@@ -38,6 +38,8 @@
 	endWith  string          // why this attempt must end, learned from the end of one task; "" if nothing is known
 	stopAt   time.Duration   // when the tasks were first told to stop
 
+	unplannable bool // the last plan found no machines for all its tasks
+
 	touched bool // is on the list for settleGangs
 	placed  bool // is on the list for commitGangs
 }
--- a/internal/coordination/scheduler/gang_test.go
+++ b/internal/coordination/scheduler/gang_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -415,3 +416,37 @@
 		}
 	}
 }
+
+// TestGangThatCannotBeComplete: no machine is rented or kept for a gang that is spread over more zones than there are, nor for long for one
+// that the cloud has not enough machines for.
+func TestGangThatCannotBeComplete(t *testing.T) {
+	b := newGangBed(t, 1)
+	b.gang("job-1", 4, 8, func(s *protocol.Spec) { s.SpreadZones = true })
+	for range 3 {
+		b.now += limits.PlanEvery
+		b.step(Tick{Entitled: true})
+		for _, e := range b.out {
+			if w, ok := e.(WriteOut); ok && strings.HasPrefix(w.Ops[0].Put, storage.PrefixRental) {
+				t.Fatalf("rented for a gang that no zones can hold: %+v", w)
+			}
+		}
+	}
+	for _, c := range []struct {
+		age  time.Duration
+		kept bool
+	}{{0, true}, {limits.GangShortPatience + time.Second, false}} {
+		b = newGangBed(t, 1)
+		for _, spot := range []bool{true, false} {
+			b.s.pool(pool{"s8", "a", spot}).until = never
+		}
+		b.stamp++
+		b.step(JobSeen{ID: "job-1", Version: 100 + b.stamp, Age: c.age, Rec: storage.Open{Spec: protocol.Spec{ID: "job-1", Class: "g", Team: "red",
+			Shape: protocol.ShapeGang, Priority: "standard", Tasks: 2, CPUs: 8, MemoryGB: 1, Spot: true, Image: "i", EstimateS: 10}}})
+		b.now += limits.PlanEvery
+		b.reportAll()
+		b.step(Tick{Entitled: true})
+		if m := b.s.machines[b.rig(0)]; m.wanted != c.kept {
+			t.Errorf("after %v: its machine is kept: %v", c.age, m.wanted)
+		}
+	}
+}
--- a/internal/coordination/scheduler/gangroom.go
+++ b/internal/coordination/scheduler/gangroom.go
@@ -55,7 +55,7 @@
 func (s *Scheduler) gangDemands() {
 	now := map[gangKind]float64{}
 	for _, j := range s.queue {
-		if j.gang == nil || j.cancelled || !s.needsReadyRoom(j) {
+		if j.gang == nil || j.gang.unplannable || j.cancelled || !s.needsReadyRoom(j) {
 			continue
 		}
 		cpus := j.needFor(j.spec.Tasks).cpu
--- a/internal/coordination/scheduler/plan.go
+++ b/internal/coordination/scheduler/plan.go
@@ -85,6 +85,10 @@
 		if s.now < j.resume {
 			continue
 		}
+		if j.gang != nil {
+			s.planGang(j, fresh, may, &offers)
+			continue
+		}
 		s.planJob(j, fresh, may, &offers)
 	}
 	s.keepGangRoom(fresh, may)
@@ -245,31 +249,31 @@
 	return sizeOf(o.typ).holds(j.need) && s.allows(j, o.p.kind, o.p.zone, o.p.spot)
 }
 
-// planJob promises a job's waiting tasks to offers that can start them in time, and adds machines to rent for what is left.
-func (s *Scheduler) planJob(j *job, fresh map[pool]float64, may func(pool) int, all *[]*offer) {
+// planJob promises a job's waiting tasks to offers that can start them in time, and adds machines to rent for what is left. It returns
+// how many tasks found neither.
+func (s *Scheduler) planJob(j *job, fresh map[pool]float64, may func(pool) int, all *[]*offer) (left int) {
 	est, n := j.occupies(), j.free()
 	// What the team's limit keeps out needs no machine now.
 	if j.need.cpu > 0 {
 		n = min(n, int((j.team.cfg.CPUsMax-j.team.used.cpu)/j.need.cpu+limits.Epsilon))
 	}
 	if n <= 0 || n < j.gangTasks() {
-		return
+		return 0
 	}
 	zones := j.planZones()
 	open := func(p pool) bool { return fresh[p] < float64(may(p)) && zones.left(p.zone) > 0 }
-	// What starts before a new machine can be up needs none. What has waited as long already can't wait as long again, or a queue that is
-	// always as long
-	// would never be worked off.
+	// What starts before a new machine can be up needs none. What has waited as long already can't wait as long again, or a queue that
+	// is always as long would never be worked off.
 	within := max(max(s.patience(j), s.soonest(j))-(s.now-j.at).Seconds(), 0)
 	if j.gang != nil && j.spec.SameZone && !s.chooseZone(j, zones, n, within, open, *all) {
-		return
+		return n
 	}
 	var p pool
 	var t *protocol.MachineType
 	carry := 0.0
 	for _, o := range *all {
 		if n == 0 {
-			return
+			return 0
 		}
 		if !s.offerAllowed(j, o) || zones.left(o.p.zone) == 0 {
 			continue
@@ -287,13 +291,13 @@
 	for n > 0 {
 		if t == nil || !open(p) {
 			if p, t = s.cheapestPool(j, open); t == nil {
-				return
+				return n
 			}
 		}
 		o := &offer{p: p, typ: t, ready: t.BootS * limits.BootReckon}
 		got := zones.count(p.zone, o.take(j, min(n, zones.left(p.zone)), est, 0, new(float64)))
 		if got == 0 {
-			return
+			return n
 		}
 		s.inZone[p.zone]++
 		whole := slots(sizeOf(t), j.need)
@@ -307,9 +311,10 @@
 		}
 		n -= got
 		if fresh[p] > float64(s.fleetMax()) {
-			return
+			return n
 		}
 	}
+	return 0
 }
 
 // wholeMachines rounds up how many machines of a pool are to be rented: a gang needs all of its machines, and who has waited for
--- a/internal/coordination/scheduler/planzones.go
+++ b/internal/coordination/scheduler/planzones.go
@@ -1,6 +1,11 @@
 package scheduler
 
-import "math"
+import (
+	"maps"
+	"math"
+
+	"quillshunt/internal/limits"
+)
 
 // planZones is how many more tasks of a job may be planned in each zone. Only gangs need it: their tasks are planned together, while
 // those of an array are bound one by one, and where the next may go is seen from the bound ones.
@@ -77,3 +82,74 @@
 	zones.only = best
 	return true
 }
+
+// planGang plans the missing tasks of a gang together. Machines are rented and kept for a gang that finds a part of them only for a while:
+// the cloud may have the rest soon, but a gang that can't be complete must not cost money for ever.
+func (s *Scheduler) planGang(j *job, fresh map[pool]float64, may func(pool) int, all *[]*offer) {
+	g := j.gang
+	if g.unplannable = !s.enoughZones(j); g.unplannable {
+		return
+	}
+	if s.now < j.at+limits.GangShortPatience {
+		s.planJob(j, fresh, may, all)
+		return
+	}
+	before, offers := maps.Clone(fresh), len(*all)
+	states := make([]offerState, offers)
+	for i, o := range *all {
+		states[i] = o.state()
+	}
+	if g.unplannable = s.planJob(j, fresh, may, all) > 0; !g.unplannable {
+		return
+	}
+	clear(fresh)
+	maps.Copy(fresh, before)
+	*all = (*all)[:offers]
+	for i, o := range *all {
+		o.restore(states[i])
+	}
+}
+
+// enoughZones tells whether a gang that is spread over zones could have all its tasks on machines if these had room without end.
+func (s *Scheduler) enoughZones(j *job) bool {
+	if !j.spec.SpreadZones {
+		return true
+	}
+	zones := map[string]bool{}
+	for _, t := range s.types {
+		if !sizeOf(t).holds(j.need) || !kindAllowed(&j.spec, t.Name) {
+			continue
+		}
+		for _, zone := range t.Zones {
+			zones[zone] = zones[zone] || j.spec.Zone == "" || j.spec.Zone == zone
+		}
+	}
+	n := 0
+	for _, allowed := range zones {
+		if allowed {
+			n++
+		}
+	}
+	return n*((j.spec.Tasks+1)/2) >= j.spec.Tasks
+}
+
+// offerState is what planning a job changes of an offer.
+type offerState struct {
+	used, load         float64
+	wanted, gangWanted bool
+}
+
+func (o *offer) state() offerState {
+	v := offerState{used: o.used, load: o.load}
+	if o.m != nil {
+		v.wanted, v.gangWanted = o.m.wanted, o.m.gangWanted
+	}
+	return v
+}
+
+func (o *offer) restore(v offerState) {
+	o.used, o.load = v.used, v.load
+	if o.m != nil {
+		o.m.wanted, o.m.gangWanted = v.wanted, v.gangWanted
+	}
+}
--- a/internal/limits/scheduling.go
+++ b/internal/limits/scheduling.go
@@ -38,6 +38,9 @@
 	// GangRoomMemory is how long room is kept for as many gangs as there were at once: longer than a gang's tasks run and a machine boots, and
 	// not much longer, as the room is paid for.
 	GangRoomMemory = 90 * time.Second
+	// GangShortPatience is how long machines are rented and kept for a gang that can't have all that it needs: the cloud's refusals last some
+	// seconds, and a machine takes up to a minute or so to boot.
+	GangShortPatience = 60 * time.Second
 	// GangRoomYields is how long a job waits for room, since its last start, before it may use what is kept for gangs: well below the 90 s for
 	// which nobody may wait while a machine has room.
 	GangRoomYields = 45 * time.Second
