--- a/internal/coordination/controller/meetings_gang_test.go
+++ b/internal/coordination/controller/meetings_gang_test.go
@@ -1,11 +1,13 @@
 package controller
 
 import (
+	"fmt"
 	"time"
 
 	"quillshunt/internal/limits"
 	"quillshunt/internal/protocol"
 	"quillshunt/internal/standin"
+	"quillshunt/internal/storage"
 )
 
 // asGang makes a job a gang of four tasks in one zone, that fills two machines.
@@ -24,6 +26,20 @@
 	return false
 }
 
+// stored brings in a job as an earlier version has stored it, perhaps larger than a value may be later.
+func (s *service) stored(change func(*protocol.Spec)) *job {
+	s.mu.Lock()
+	s.seq++
+	j := &job{accepted: time.Now(), spec: protocol.Spec{ID: fmt.Sprintf("job-%06d", s.seq), Class: "x", Team: "red", Shape: protocol.ShapeArray,
+		Priority: "standard", Tasks: 2, CPUs: 1, MemoryGB: 1, Spot: true, Image: "i", EstimateS: 15}}
+	change(&j.spec)
+	s.jobs[j.spec.ID] = j
+	s.mu.Unlock()
+	record := protocol.Encode(storage.Open{Spec: j.spec, AtMs: time.Now().UnixMilli()})
+	s.state.Txn(protocol.Txn{Ops: []protocol.Op{{Put: storage.OpenKey(j.spec.ID), Value: record}}})
+	return j
+}
+
 // gangMeetings are troubles that meet gangs: a change of leaders in each state of a gang, lost and silent machines, late commands.
 var gangMeetings = []meeting{
 	{"a leader ends while a gang gathers, as one machine was not reached", func(s *service) {
@@ -126,6 +142,25 @@
 		s.met(s.seen(a, 5) || s.seen(b, 5), "one of them runs")
 		time.Sleep(60 * time.Second)
 	}},
+	{"the limits of the state service fall while leaders change; a record that was stored before can still be cancelled", func(s *service) {
+		s.warm(4, nil)
+		large := s.stored(func(sp *protocol.Spec) {
+			for range 100 {
+				sp.MachineTypes = append(sp.MachineTypes, "another-type-with-a-long-name")
+			}
+			sp.MachineTypes[0], sp.EstimateS = "c8", 200
+		})
+		s.met(s.seen(large, large.spec.Tasks), "the large job runs")
+		s.state.SetLimits(standin.StateLimits{ValueBytes: int(nextValueKB * 1024), TxnOps: nextTxnOps})
+		s.crowd(40*time.Second, 3*time.Second, asGang)
+		for range 3 {
+			s.restart(s.leader(), time.Second)
+			time.Sleep(8 * time.Second)
+		}
+		s.met(s.cancel(large), "a cancellation")
+		time.Sleep(20 * time.Second)
+		s.met(s.state.OverLimits() == 0, "no transaction over the limits: %d", s.state.OverLimits())
+	}},
 	{"the state service is down while gangs run, lose a machine and start again", func(s *service) {
 		s.warm(2, nil)
 		g := s.submit(asGang)
--- a/internal/coordination/controller/service_test.go
+++ b/internal/coordination/controller/service_test.go
@@ -75,6 +75,12 @@
 	workers   = config.Workers{ReportS: reportS, LeaseS: leaseS, CancelS: cancelS, GangWaitS: &gangWaitS, GangPeerS: &gangPeerS}
 )
 
+var (
+	nextValueKB = 2.0
+	nextTxnOps  = 4
+	stateLimits = config.State{RPS: 300, WriteRPS: 60, ValueKB: 4, TxnOps: 8, Next: &config.NextState{ValueKB: &nextValueKB, TxnOps: &nextTxnOps}}
+)
+
 var teams = []config.Team{{Name: "red", CPUs: 16, CPUsMax: 32}, {Name: "blue", CPUs: 16, CPUsMax: 48}}
 
 // play runs a day of the service in a bubble of virtual time.
@@ -149,7 +155,7 @@
 		}
 	}
 	set.Facts = config.Facts{Zones: s.zones, Teams: teams, Workers: workers,
-		State: config.State{RPS: 300, WriteRPS: 60, ValueKB: 4, TxnOps: 8}, Cloud: config.Cloud{RPS: 5, ListLagS: 2},
+		State: stateLimits.Lowest(), Cloud: config.Cloud{RPS: 5, ListLagS: 2},
 		Machine: config.MachineLimits{CoreShare: 0.2, MemoryMB: 100, MaxSockets: 500}, SkewMs: 100}
 	return set
 }
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"quillshunt/internal/protocol"
+	"quillshunt/internal/storage"
 	"quillshunt/internal/transport"
 )
 
@@ -28,6 +29,14 @@
 
 	refused map[string]bool // callers that alone are refused
 	late    func() (time.Duration, bool)
+	limits  StateLimits
+	over    int // transactions that were over the limits
+}
+
+// StateLimits are limits of the state service. Zero means none.
+type StateLimits struct {
+	ValueBytes int // of a value, in JSON
+	TxnOps     int
 }
 
 type hold struct {
@@ -40,6 +49,58 @@
 	return &State{keys: map[string]protocol.Pair{}, holds: map[uint64]hold{}, waits: map[chan struct{}]bool{}, refused: map[string]bool{}}
 }
 
+// SetLimits sets limits from now on; what is stored stays as it is.
+func (s *State) SetLimits(l StateLimits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = l
+}
+
+// OverLimits is how many transactions were refused for their size.
+func (s *State) OverLimits() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.over
+}
+
+// fits tells whether a transaction keeps to the limits; the caller has the lock.
+func (s *State) fits(t *protocol.Txn) bool {
+	if s.limits.TxnOps > 0 && len(t.Ops) > s.limits.TxnOps {
+		return false
+	}
+	for _, op := range t.Ops {
+		var value any
+		if s.limits.ValueBytes == 0 || op.Delete != "" || protocol.Decode(op.Value, &value) != nil {
+			continue
+		}
+		if storage.Size(textKeys(value)) > s.limits.ValueBytes {
+			return false
+		}
+	}
+	return true
+}
+
+// textKeys gives maps text keys, as they have in JSON, in which sizes are counted.
+func textKeys(v any) any {
+	switch v := v.(type) {
+	case map[any]any:
+		out := make(map[string]any, len(v))
+		for key, e := range v {
+			if name, ok := key.(string); ok {
+				out[name] = textKeys(e)
+			}
+		}
+		return out
+	case []any:
+		out := make([]any, len(v))
+		for i, e := range v {
+			out[i] = textKeys(e)
+		}
+		return out
+	}
+	return v
+}
+
 // SetDown starts or ends an outage. After one, all holds have their full time again.
 func (s *State) SetDown(down bool) {
 	s.mu.Lock()
@@ -137,6 +198,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
+	if !s.fits(&t) {
+		s.over++
+		return 400, protocol.TxnReply{}
+	}
 	for _, op := range t.Ops {
 		if op.Lease != 0 {
 			if _, ok := s.holds[op.Lease]; !ok {
