--- a/internal/coordination/scheduler/gang_test.go
+++ b/internal/coordination/scheduler/gang_test.go
@@ -450,3 +450,32 @@
 		}
 	}
 }
+
+// TestGangAttemptKnownToWorker: a machine that lists a task of the attempt as ended takes no start of it for a new one. A new leader, which
+// does not remember where tasks were lost, sends the replacement elsewhere; and if such a start goes out, the task does not stay bound.
+func TestGangAttemptKnownToWorker(t *testing.T) {
+	ended := protocol.TaskReport{Task: "job-1/0", Attempt: 7, State: protocol.Ended, Reason: protocol.ReasonNoRoom}
+	waits := protocol.TaskReport{Task: "job-1/1", Attempt: 7, State: protocol.Gathering}
+	b := newBed(t, 3)
+	b.gang("job-1", 2, 8)
+	b.report(0, ended)
+	b.report(1, waits)
+	b.report(2)
+	if starts := commandsOf(b.out, protocol.CommandStart); len(starts) != 1 || starts[0].Attempt != 7 {
+		t.Fatalf("starts: %+v", b.out)
+	}
+	if m := b.s.jobs["job-1"].bound[0].machine; m.name != b.rig(2) {
+		t.Errorf("replaced on %s", m.name)
+	}
+	b = newBed(t, 2)
+	b.gang("job-1", 2, 8)
+	b.report(0, ended)
+	b.report(1, waits)
+	if b.s.jobs["job-1"].bound[0] == nil {
+		b.s.bind(b.s.jobs["job-1"], 0, b.s.machines[b.rig(0)], 7, sent)
+	}
+	b.report(0, ended)
+	if bound := b.s.jobs["job-1"].bound[0]; bound != nil {
+		t.Errorf("still bound: %+v", bound)
+	}
+}
--- a/internal/coordination/scheduler/gangplace.go
+++ b/internal/coordination/scheduler/gangplace.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"quillshunt/internal/limits"
+	"quillshunt/internal/protocol"
 )
 
 // The paper's extension to runs that are placed and stopped as a whole: the request for a gang asks for one machine after the other
@@ -165,7 +166,7 @@
 
 // offer adds a machine to the candidates if a task may go there.
 func (a *seating) offer(m *machine) {
-	if a.zone != "" && m.zone != a.zone || a.j.gang.avoided[m.name] || a.zoneFull(m.zone) {
+	if a.zone != "" && m.zone != a.zone || a.j.gang.avoided[m.name] || a.j.gang.endedOn(m) || a.zoneFull(m.zone) {
 		return
 	}
 	if c, ok := a.s.candidate(a.j, m, a.pressing, a.views[m]); ok {
@@ -173,6 +174,19 @@
 	}
 }
 
+// endedOn tells whether a machine lists a task of the gang's present attempt as ended: its worker takes a start of it for a repetition.
+func (g *gang) endedOn(m *machine) bool {
+	if g.state == gangWaiting {
+		return false
+	}
+	for key := range m.exits {
+		if id, _, _ := protocol.ParseTaskName(key.piece); key.try == g.attempt && id == g.job.id {
+			return true
+		}
+	}
+	return false
+}
+
 // zoneFull tells whether a gang that is spread over zones may have no more tasks in one.
 func (a *seating) zoneFull(zone string) bool {
 	return a.j.spec.SpreadZones && a.inZone[zone] >= (a.j.spec.Tasks+1)/2
--- a/internal/coordination/scheduler/tasks.go
+++ b/internal/coordination/scheduler/tasks.go
@@ -50,13 +50,20 @@
 func (s *Scheduler) takeEnded(m *machine, j *job, index int, t *protocol.TaskReport) (x exit, ours bool) {
 	b := m.bindings[t.Task]
 	ours = b != nil && b.attempt == t.Attempt
+	onItsWay := ours && (b.direct != 0 || b.unclear)
 	if ours {
 		b.arrived()
 	}
 	x, seen := m.exits[exitKey(t)]
 	switch {
+	case seen && ours:
+		// The attempt had ended here before we sent it once more, as the gang's tasks share one. The start has no effect, as long as the
+		// worker is not told to forget the attempt.
+		s.unbind(b)
+		x.keep = x.keep || onItsWay
+		return x, true
 	case seen:
-		return x, ours
+		return x, false
 	case ours:
 		return s.ended(b, t), true
 	case j == nil || t.Reason != protocol.ReasonDone || j.cancelled:
