--- a/internal/coordination/scheduler/gangplace.go
+++ b/internal/coordination/scheduler/gangplace.go
@@ -297,7 +297,8 @@
 			continue
 		}
 		fetch := limits.Seconds(g.job.class.fetch)
-		if (g.gatherBy != 0 && s.now+fetch > g.gatherBy) || !s.placeGang(g.job) {
+		late := g.gatherBy != 0 && s.now+fetch > g.gatherBy
+		if late || s.now < g.job.resume || !s.placeGang(g.job) {
 			s.stopGang(g, "no room for a lost task of the gang")
 		}
 	}
--- a/internal/coordination/scheduler/gangroom.go
+++ b/internal/coordination/scheduler/gangroom.go
@@ -125,11 +125,14 @@
 		d.zone = s.gangRoomZone(d)
 	}
 	var ms []*machine
+	total := 0.0
 	for _, m := range s.fleet {
+		total += m.size().cpu
 		if !m.gangRoom && s.keepable(d, m) {
 			ms = append(ms, m)
 		}
 	}
+	spare := total * limits.GangRoomShare
 	slices.SortStableFunc(ms, func(a, b *machine) int {
 		return cmp.Or(
 			compareBool(b.wasGangRoom, a.wasGangRoom),
@@ -141,8 +144,13 @@
 		if want <= 0 {
 			return
 		}
-		m.gangRoom, m.wanted = true, true
-		want -= m.size().cpu
+		size := m.size().cpu
+		want -= size
+		m.wanted = true
+		if spare >= size { // else it is not returned, but everybody may use it
+			spare -= size
+			m.gangRoom = true
+		}
 	}
 	if want <= 0 {
 		return
--- a/internal/limits/scheduling.go
+++ b/internal/limits/scheduling.go
@@ -41,6 +41,8 @@
 	// GangShortPatience is how long machines are rented and kept for a gang that can't have all that it needs: the cloud's refusals last some
 	// seconds, and a machine takes up to a minute or so to boot.
 	GangShortPatience = 60 * time.Second
+	// GangRoomShare is the most of all machines that is kept for gangs of a kind: under lasting overload others need the rest.
+	GangRoomShare = 0.5
 	// GangRoomYields is how long a job waits for room, since its last start, before it may use what is kept for gangs: well below the 90 s for
 	// which nobody may wait while a machine has room.
 	GangRoomYields = 45 * time.Second
