--- a/internal/coordination/scheduler/gang.go
+++ b/internal/coordination/scheduler/gang.go
@@ -326,8 +326,8 @@
 			continue
 		}
 		s.stopGang(g, "its machine is returned")
-		time := limits.Seconds(b.job.spec.SaveS) + limits.StashMargin + s.gangPeer()
-		wait = wait || s.now < g.stopAt+time
+		saved := g.stopAt + limits.Seconds(b.job.spec.SaveS) + limits.StashMargin + s.gangPeer()
+		wait = wait || s.now < saved
 	}
 	return wait
 }
