--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -24,8 +24,6 @@
 	state *standin.State
 	addr  string
 	call  *transport.Client
-
-	settings *config.Settings
 }
 
 func freePort(t *testing.T) string {
@@ -51,7 +49,8 @@
 	}
 }
 
-func newFront(t *testing.T) *front {
+// newFront starts a gateway, with settings changed before it begins.
+func newFront(t *testing.T, change ...func(*config.Settings)) *front {
 	log := slog.New(slog.DiscardHandler)
 	f := &front{t: t, state: standin.NewState(), addr: freePort(t)}
 	types := storage.Types{MachineTypes: []protocol.MachineType{{Name: "g8", CPUs: 16, Accelerators: 2, MemoryGB: 128, Zones: []string{"a"}}}}
@@ -61,7 +60,9 @@
 	s := &config.Settings{NodeName: "rig-0", Facts: config.Facts{
 		Teams: []config.Team{{Name: "vision", CPUsMax: 100, GPUsMax: 4}, {Name: "tiny", CPUsMax: 1}},
 		State: config.State{RPS: 10_000, WriteRPS: 10_000, ValueKB: 4, TxnOps: 8}}}
-	f.settings = s
+	for _, c := range change {
+		c(s)
+	}
 	store := storage.New(back, s.Facts.State)
 	peers, err := peer.Dial(nil, nil)
 	if err != nil {
@@ -114,8 +115,7 @@
 }
 
 func TestUsersAPI(t *testing.T) {
-	f := newFront(t)
-	f.settings.Facts.Workers.GangWaitS, f.settings.Facts.Workers.GangPeerS = new(float64), new(float64)
+	f := newFront(t, func(s *config.Settings) { s.Facts.Workers.GangWaitS, s.Facts.Workers.GangPeerS = new(float64), new(float64) })
 	many := make([]string, limits.MaxMachineTypes)
 	for i := range many {
 		many[i] = "g8-with-a-rather-long-name"
@@ -323,8 +323,7 @@
 
 // TestLargeRecord: a job that was stored when values could be larger can still be cancelled, and a repeated submission of it is known.
 func TestLargeRecord(t *testing.T) {
-	f := newFront(t)
-	f.settings.Facts.State.ValueKB = 0.5
+	f := newFront(t, func(s *config.Settings) { s.Facts.State.ValueKB = 0.5 })
 	spec := protocol.Spec{ID: "job-1", Class: "train", Team: "vision", Shape: protocol.ShapeArray, Priority: "high", Tasks: 2, CPUs: 8, Image: "img"}
 	for range 20 {
 		spec.MachineTypes = append(spec.MachineTypes, "g8-with-a-rather-long-name")
