--- a/internal/coordination/gateway/gateway_test.go
+++ b/internal/coordination/gateway/gateway_test.go
@@ -115,7 +115,9 @@
 }
 
 func TestUsersAPI(t *testing.T) {
-	f := newFront(t, func(s *config.Settings) { s.Facts.Workers.GangWaitS, s.Facts.Workers.GangPeerS = new(float64), new(float64) })
+	f := newFront(t, func(s *config.Settings) {
+		s.Facts.Workers.GangWaitS, s.Facts.Workers.GangPeerS = new(float64), new(float64)
+	})
 	many := make([]string, limits.MaxMachineTypes)
 	for i := range many {
 		many[i] = "g8-with-a-rather-long-name"
