Logic of the gangs that stood twice is made one; no change of behaviour

- The order in which machines are held for a job that waits is one function for arrays and gangs (heldFirst).
- Finished tasks are marked in one place; a gang marks all of its tasks there, and the check after it was dead.
- sortedKeys is the standard library's slices.Sorted(maps.Keys()).
- enoughZones counts only allowed zones instead of a map of yes and no; an unused parameter is gone.

--- a/internal/coordination/scheduler/aging.go
+++ b/internal/coordination/scheduler/aging.go
@@ -103,18 +103,15 @@
 		}
 	}
 	p.short = short
-	kept := func(m *machine) int {
-		if m.wasHeld {
-			return 0
-		}
-		return 1
-	}
-	slices.SortStableFunc(short, func(a, b *machine) int {
-		return cmp.Or(cmp.Compare(kept(a), kept(b)), cmp.Compare(b.freeRoom().cpu, a.freeRoom().cpu))
-	})
+	slices.SortStableFunc(short, heldFirst)
 	n = min(n, len(short))
 	for _, m := range short[:n] {
 		m.heldFor = j
 	}
 	p.holds -= n
 }
+
+// heldFirst orders machines that may be held: those held in the pass before, then those with the most free room.
+func heldFirst(a, b *machine) int {
+	return cmp.Or(compareBool(b.wasHeld, a.wasHeld), cmp.Compare(b.freeRoom().cpu, a.freeRoom().cpu))
+}
--- a/internal/coordination/scheduler/finished.go
+++ b/internal/coordination/scheduler/finished.go
@@ -86,18 +86,25 @@
 // taskDone notes a finished task. The worker is told to forget it only once this is durable.
 func (s *Scheduler) taskDone(j *job, idx int) (n int, ver uint64) {
 	n = idx / s.chunkLen
-	c := &j.chunks[n]
 	if j.gang != nil {
-		s.gangDone(j) // its tasks complete together
-	}
-	if !getBit(j.done, idx) {
-		setBit(j.done, idx)
-		j.doneCount++
-		c.sequence++
+		for i := range j.spec.Tasks {
+			s.markDone(j, i) // they complete together
+		}
+	} else {
+		s.markDone(j, idx)
 	}
 	j.failOn = map[string]bool{}
 	j.backoff, j.resume = 0, 0
-	return n, c.sequence
+	return n, j.chunks[n].sequence
+}
+
+func (s *Scheduler) markDone(j *job, idx int) {
+	if getBit(j.done, idx) {
+		return
+	}
+	setBit(j.done, idx)
+	j.doneCount++
+	j.chunks[idx/s.chunkLen].sequence++
 }
 
 // flush writes finished tasks down, those first that were not written for longest, within a share of the state service's rate: what is
--- a/internal/coordination/scheduler/gang.go
+++ b/internal/coordination/scheduler/gang.go
@@ -227,17 +227,6 @@
 	}
 }
 
-// gangDone notes that all tasks of a gang are done.
-func (s *Scheduler) gangDone(j *job) {
-	for i := range j.spec.Tasks {
-		if !getBit(j.done, i) {
-			setBit(j.done, i)
-			j.doneCount++
-			j.chunks[i/s.chunkLen].sequence++
-		}
-	}
-}
-
 // gangGathers notes that a task of a gang waits for the others, since a report ago at most.
 func (s *Scheduler) gangGathers(g *gang) {
 	if g != nil && g.gatherBy == 0 {
@@ -265,7 +254,7 @@
 	s.roomChanged = false
 	s.placedGangs = slices.DeleteFunc(s.placedGangs, func(g *gang) bool {
 		waiting := g.uncommitted()
-		if len(waiting) > 0 && !s.roomConfirmed(g, waiting) {
+		if len(waiting) > 0 && !s.roomConfirmed(waiting) {
 			return false
 		}
 		for _, b := range waiting {
@@ -293,7 +282,7 @@
 }
 
 // roomConfirmed tells whether every machine of the tasks surely has room for them now.
-func (s *Scheduler) roomConfirmed(g *gang, tasks []*binding) bool {
+func (s *Scheduler) roomConfirmed(tasks []*binding) bool {
 	need := map[*machine]room{}
 	for _, b := range tasks {
 		need[b.machine] = need[b.machine].plus(b.job.need)
--- a/internal/coordination/scheduler/gangplace.go
+++ b/internal/coordination/scheduler/gangplace.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"quillshunt/internal/limits"
@@ -323,7 +324,7 @@
 	}
 	var best []*machine
 	most := -1.0
-	for _, zone := range sortedKeys(byZone) {
+	for _, zone := range slices.Sorted(maps.Keys(byZone)) {
 		kept, free := s.keepMost(j, byZone[zone])
 		if free > most {
 			best, most = kept, free
@@ -338,15 +339,7 @@
 // keepMost picks the machines that should first have room for all tasks of a gang, and how much room is free there. It returns none if they
 // could never hold all.
 func (s *Scheduler) keepMost(j *job, machines []*machine) (kept []*machine, free float64) {
-	keptBefore := func(m *machine) int {
-		if m.wasHeld {
-			return 0
-		}
-		return 1
-	}
-	slices.SortStableFunc(machines, func(a, b *machine) int {
-		return cmp.Or(cmp.Compare(keptBefore(a), keptBefore(b)), cmp.Compare(b.freeRoom().cpu, a.freeRoom().cpu))
-	})
+	slices.SortStableFunc(machines, heldFirst)
 	found := 0
 	for _, m := range machines {
 		if found >= j.free() {
@@ -362,15 +355,6 @@
 	return kept, free
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 // gangLoss is what stopping a gang would waste: the losses of all its tasks.
 func (s *Scheduler) gangLoss(j *job) float64 {
 	sum := 0.0
--- a/internal/coordination/scheduler/gangroom.go
+++ b/internal/coordination/scheduler/gangroom.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -187,7 +188,7 @@
 		return zone
 	}
 	best := ""
-	for _, z := range sortedKeys(all) {
+	for _, z := range slices.Sorted(maps.Keys(all)) {
 		if best == "" || all[z] > all[best] {
 			best = z
 		}
--- a/internal/coordination/scheduler/planzones.go
+++ b/internal/coordination/scheduler/planzones.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 
 	"quillshunt/internal/limits"
 )
@@ -62,7 +63,7 @@
 		}
 	}
 	best, most := "", 0.0
-	for _, zone := range sortedKeys(startable) {
+	for _, zone := range slices.Sorted(maps.Keys(startable)) {
 		found := min(startable[zone], float64(n))
 		if found <= most {
 			continue
@@ -121,16 +122,12 @@
 			continue
 		}
 		for _, zone := range t.Zones {
-			zones[zone] = zones[zone] || j.spec.Zone == "" || j.spec.Zone == zone
+			if j.spec.Zone == "" || j.spec.Zone == zone {
+				zones[zone] = true
+			}
 		}
 	}
-	n := 0
-	for _, allowed := range zones {
-		if allowed {
-			n++
-		}
-	}
-	return n*((j.spec.Tasks+1)/2) >= j.spec.Tasks
+	return len(zones)*((j.spec.Tasks+1)/2) >= j.spec.Tasks
 }
 
 // offerState is what planning a job changes of an offer.
