Review case 2: a new leader renews the lease of a cancelled task

Cause: a report that shows an earlier term is answered 200 without commands, whatever is cancelled. That renews the worker's lease beyond cancel_s; the reports after it are refused and carry no stop.

Change: review/2 with its stand-in program.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p review/bin
-for name in beat; do
+for name in beat unfenced; do
   go build -o "review/bin/$name" "./review/testdata/$name"
 done
