--- a/review/testdata/rig/deployment.go
+++ b/review/testdata/rig/deployment.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -43,13 +44,18 @@
 // Zones of the deployment, as in the smaller of the two sites with zones.
 var zones = []string{"jongno", "daegu-annex", "busan-vault"}
 
+// freePort returns an address whose port is free. It is below the ports that the system gives to outgoing
+// connections, as one of them could take it before the controller listens.
 func freePort() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 100 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 15000+rand.IntN(15000)))
+		if err != nil {
+			continue
+		}
+		defer l.Close()
+		return l.Addr().String(), nil
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 // NewDeployment prepares a deployment with settings like those of the site hanbit-dongmun-grid, and
@@ -95,6 +101,11 @@
 			return nil, err
 		}
 	}
+	for _, node := range d.Nodes {
+		if !Await(10*time.Second, func() bool { return d.isHealthy(node) }) {
+			d.Unable("controller " + node + " does not answer")
+		}
+	}
 	return d, nil
 }
 
@@ -237,6 +248,16 @@
 	_ = os.RemoveAll(d.folder)
 }
 
+// isHealthy asks a controller whether it is healthy.
+func (d *Deployment) isHealthy(node string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	client := newHTTP()
+	defer client.CloseIdleConnections()
+	status, _ := post(ctx, client, "http://"+d.Fleet.Controllers[node]+"/healthz", nil)
+	return status == http.StatusOK
+}
+
 // CutPeers cuts the links between two controllers in both directions, or heals them.
 func (d *Deployment) CutPeers(a, b string, cut bool) {
 	d.Peers[a][b].SetCut(cut)
