Do not adopt a successor's heartbeat record

Cause: when a write of the heartbeat record failed because another record was stored, the leader took over the version of whatever record it then read. The record may be that of its successor, whose campaign was applied in between. Controllers that have withdrawn their votes grant them for that later version. The invariant that was lost: a leader requests votes only under heartbeat records that its own term has written.

Evidence: two log lines were added first, for each renewal of the quorum lease and for each record that is read after a conflict.

Change: adoptHeartbeat takes over a version only if the record names the own term; any other term means that the term is over.

--- a/internal/coordination/election/election_test.go
+++ b/internal/coordination/election/election_test.go
@@ -59,6 +59,14 @@
 	}
 }
 
+// runUntil advances the time until the condition holds or the given time is reached.
+func (k *invariantChecker) runUntil(end time.Time, condition func() bool) {
+	k.t.Helper()
+	for time.Now().Before(end) && !condition() {
+		k.runFor(50 * time.Millisecond)
+	}
+}
+
 // Faults that injectFault chooses from.
 const (
 	crashAndRestart = iota
@@ -68,12 +76,20 @@
 	crashRepeatedly // restarts at once, possibly during an election
 	isolatedFromAll // from the state service and the other nodes
 	isolatedFromPeers
+	isolatedUntilWithdrawal // reaches all others again at the moment at which it may be replaced
 	faultCount
 )
 
-// injectFault injects a random fault. Half of the time it hits the leader, if there is one;
-// otherwise a random node.
-func (k *invariantChecker) injectFault(random *rand.Rand) {
+// Numbers of generated cases. The cases from firstCaseWithWithdrawal on also have the fault
+// isolatedUntilWithdrawal.
+const (
+	firstCaseWithWithdrawal = 30
+	generatedCases          = 60
+)
+
+// injectFault injects a random fault, one of the first faults. Half of the time it hits the leader, if
+// there is one; otherwise a random node.
+func (k *invariantChecker) injectFault(random *rand.Rand, faults int) {
 	k.t.Helper()
 	n := k.cluster.nodes[random.IntN(len(k.cluster.nodes))]
 	if random.IntN(2) == 0 {
@@ -82,7 +98,7 @@
 		}
 	}
 	until := time.Now().Add(time.Duration(random.IntN(60)) * time.Second)
-	switch random.IntN(faultCount) {
+	switch random.IntN(faults) {
 	case crashAndRestart:
 		n.crash()
 		k.runFor(time.Duration(random.IntN(9000)) * time.Millisecond)
@@ -104,9 +120,32 @@
 		k.cluster.service.SetUnavailable(false)
 	case stateServiceRejects:
 		n.store.setRejected(time.Now().Add(time.Duration(random.IntN(60)) * time.Second))
+	case isolatedUntilWithdrawal:
+		k.isolateUntilWithdrawal(n)
 	}
 }
 
+// isolateUntilWithdrawal isolates a node from the other controllers, and from the state service once a
+// heartbeat record was written without a reply. It ends this as soon as a majority has withdrawn its votes
+// for the stored heartbeat record, or after a minute. The state service is slow, so that the node's next
+// requests and the campaign that replaces it are applied in any order.
+func (k *invariantChecker) isolateUntilWithdrawal(isolated *node) {
+	k.t.Helper()
+	until := time.Now().Add(time.Minute)
+	isolated.isolate(until)
+	isolated.store.setLosesReplies(true)
+	before := k.cluster.heartbeatVersion()
+	k.runUntil(time.Now().Add(limits.VoteLeaseMin), func() bool { return k.cluster.heartbeatVersion() != before })
+	isolated.store.setRejected(until)
+	isolated.store.setLosesReplies(false)
+	k.cluster.setSlow(true)
+	k.runUntil(until, k.cluster.hasMajorityWithdrawn)
+	isolated.store.setRejected(time.Time{})
+	isolated.isolate(time.Time{})
+	k.runFor(4 * slowRequestMax * time.Millisecond)
+	k.cluster.setSlow(false)
+}
+
 // endFaults ends all isolation, rejections and message losses.
 func (k *invariantChecker) endFaults() {
 	for _, n := range k.cluster.nodes {
@@ -134,7 +173,11 @@
 // TestAtMostOneEntitledLeader checks under random faults that at most one controller is entitled
 // and that terms never decrease. After the faults end, a leader must be elected.
 func TestAtMostOneEntitledLeader(t *testing.T) {
-	for seed := range uint64(30) {
+	for seed := range uint64(generatedCases) {
+		faults := faultCount
+		if seed < firstCaseWithWithdrawal {
+			faults = isolatedUntilWithdrawal
+		}
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				random := rand.New(rand.NewPCG(seed, 1))
@@ -142,7 +185,7 @@
 				k := &invariantChecker{t: t, seed: seed, cluster: c, leaderships: map[uint64]*Leadership{}}
 				c.start()
 				for range 25 {
-					k.injectFault(random)
+					k.injectFault(random, faults)
 					k.runFor(time.Duration(random.IntN(20)) * time.Second)
 				}
 				k.endFaults()
@@ -157,6 +200,56 @@
 	}
 }
 
+// TestReplacedLeaderStaysReplaced checks a leader that is replaced at the moment at which it becomes
+// reachable again: its last heartbeat record was applied without an answer, the next one is therefore
+// refused, and the campaign that replaces it is applied before it reads the stored record. Two leaders
+// would be entitled if it requested votes for the record of its successor.
+func TestReplacedLeaderStaysReplaced(t *testing.T) {
+	for _, size := range []int{3, 5} {
+		t.Run(fmt.Sprintf("%d controllers", size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkReplacedLeader(t, size) })
+		})
+	}
+}
+
+func checkReplacedLeader(t *testing.T, size int) {
+	c := newCluster(size, 8)
+	defer c.crash()
+	k := &invariantChecker{t: t, cluster: c, leaderships: map[uint64]*Leadership{}}
+	c.start()
+	k.runFor(15 * time.Second)
+	replaced := c.leader()
+	if replaced == nil {
+		t.Fatal("no leader was elected")
+	}
+	old := replaced.entitledLeadership()
+	replaced.isolate(time.Now().Add(time.Hour))
+	replaced.store.setRejected(time.Now().Add(time.Hour))
+	c.service.CompareAndSwap(protocol.Transaction{Operations: []protocol.Operation{{
+		Put: storage.KeyLeaderHeartbeat, Value: protocol.Encode(storage.LeaderHeartbeat{Term: old.Term, Sequence: 100}),
+	}}})
+	for _, n := range c.nodes {
+		n.store.setCaptureCampaigns(n != replaced)
+	}
+	k.runUntil(time.Now().Add(time.Minute), func() bool { return c.capturedCampaign() != nil })
+	campaign := c.capturedCampaign()
+	if campaign == nil {
+		t.Fatal("no node campaigned")
+	}
+	replaced.store.onHeartbeatRead(func() {
+		c.service.CompareAndSwap(*campaign)
+		for _, n := range c.nodes {
+			n.store.setCaptureCampaigns(false)
+		}
+	})
+	replaced.isolate(time.Time{})
+	replaced.store.setRejected(time.Time{})
+	k.runFor(30 * time.Second)
+	if l := c.leader(); l == nil || l.entitledLeadership().Term == old.Term {
+		t.Errorf("entitled leadership is %v, want a later term than %d", l, old.Term)
+	}
+}
+
 // TestRestartedLeaderCampaignsAtOnce checks that a leader that restarts under the same name does
 // not wait for its old lease to expire.
 func TestRestartedLeaderCampaignsAtOnce(t *testing.T) {
--- a/internal/coordination/election/lead.go
+++ b/internal/coordination/election/lead.go
@@ -70,8 +70,9 @@
 
 // renewLease renews the leader lease once and extends the time for which the leader is entitled by
 // it. After an outage of the state service, a renewal may succeed long after that time. The state
-// service has not let the lease expire in between, so no other controller can have led, and the term
-// continues.
+// service has not let the lease expire in between, so the term continues, unless a majority of the
+// controllers has withdrawn its votes and another one has replaced the leader key. The lease does not
+// show that, but the quorum lease is not renewed then.
 func (e *Elector) renewLease(ctx context.Context, l *Leadership, leaseID uint64) error {
 	sentAt := time.Now()
 	if err := e.options.Store.RenewLease(ctx, leaseID); err != nil {
--- a/internal/coordination/election/node_test.go
+++ b/internal/coordination/election/node_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"quillshunt/internal/limits"
+	"quillshunt/internal/protocol"
 	"quillshunt/internal/standin"
 	"quillshunt/internal/storage"
 )
@@ -52,6 +53,43 @@
 	return nil
 }
 
+// heartbeatVersion returns the version of the stored heartbeat record.
+func (c *cluster) heartbeatVersion() uint64 {
+	key, _ := c.service.Get(storage.KeyLeaderHeartbeat)
+	return key.Version
+}
+
+// setSlow sets whether all requests to the state service are slow.
+func (c *cluster) setSlow(slow bool) {
+	for _, n := range c.nodes {
+		n.store.setSlow(slow)
+	}
+}
+
+// hasMajorityWithdrawn reports whether a majority of the nodes has withdrawn its votes for the stored
+// heartbeat record.
+func (c *cluster) hasMajorityWithdrawn() bool {
+	heartbeatVersion := c.heartbeatVersion()
+	withdrawals := 0
+	for _, item := range c.service.List(storage.PrefixVoteWithdrawal, "", limits.StatePageSize).Items {
+		var w storage.VoteWithdrawal
+		if protocol.Decode(item.Value, &w) == nil && w.HeartbeatVersion >= heartbeatVersion {
+			withdrawals++
+		}
+	}
+	return withdrawals > len(c.nodes)/2
+}
+
+// capturedCampaign returns the first captured campaign transaction of any node, or nil if there is none.
+func (c *cluster) capturedCampaign() *protocol.Transaction {
+	for _, n := range c.nodes {
+		if campaigns := n.store.capturedCampaigns(); len(campaigns) > 0 {
+			return &campaigns[0]
+		}
+	}
+	return nil
+}
+
 func (c *cluster) start() {
 	for _, n := range c.nodes {
 		n.start()
--- a/internal/coordination/election/quorum.go
+++ b/internal/coordination/election/quorum.go
@@ -15,7 +15,7 @@
 type quorumRenewer struct {
 	elector          *Elector
 	leadership       *Leadership
-	heartbeatVersion uint64 // version of the last known heartbeat record
+	heartbeatVersion uint64 // version of the last known heartbeat record, which this term has written
 	sequence         uint64 // sequence number of the last record sent in this term
 	renewedAt        time.Time
 
@@ -76,16 +76,18 @@
 		}
 	}
 	if granted >= e.quorumSize() {
-		r.extendFrom(sentAt)
+		r.extendFrom(sentAt, "votes")
 	}
 	return newProcess
 }
 
 // extendFrom extends the quorum lease after a successful renewal. The lease counts from sentAt, when
-// the request of the renewal was sent.
-func (r *quorumRenewer) extendFrom(sentAt time.Time) {
+// the request of the renewal was sent. The log says what has renewed it.
+func (r *quorumRenewer) extendFrom(sentAt time.Time, renewedBy string) {
 	r.leadership.extendQuorum(sentAt.Add(limits.LeaseValidFor(r.elector.voter.voteLease)))
 	r.renewedAt = sentAt
+	r.elector.options.Log.Debug("quorum lease renewed", "term", r.leadership.Term,
+		"by", renewedBy, "heartbeat_version", r.heartbeatVersion)
 }
 
 // writeHeartbeat writes the next heartbeat record, and extends the quorum lease if that succeeds.
@@ -112,17 +114,44 @@
 	switch {
 	case err == nil:
 		r.heartbeatVersion, r.coveredNonces = version, nonces
-		r.extendFrom(sentAt)
+		r.extendFrom(sentAt, "heartbeat record")
 	case errors.As(err, &conflict) && conflict.HasFailedKey(storage.KeyLeader):
 		return true
 	case errors.As(err, &conflict):
-		// An earlier heartbeat record of this leader was applied but not confirmed. It was sent after
-		// all covered nonces were known, so it can serve as the last known record.
-		if key, err := store.Get(ctx, storage.KeyLeaderHeartbeat); err == nil {
-			r.heartbeatVersion = key.Version
-		}
+		return r.adoptHeartbeat(ctx)
 	default:
 		r.elector.options.Log.Debug("failed to write the heartbeat record", "term", r.leadership.Term, "err", err)
 	}
 	return false
 }
+
+// adoptHeartbeat makes the stored heartbeat record the last known one, after a write has failed because
+// another record than the last known one is stored. It reports whether another controller has replaced
+// the leader.
+//
+// If the stored record is of this term, an earlier write was applied but not confirmed. That record was
+// sent after all covered nonces were known, so it can serve as the last known record. A record of
+// another term is that of a successor, which may have replaced the leader since the failed write. It
+// must not be adopted: the controllers that have withdrawn their votes from this term would grant them
+// for the successor's version.
+func (r *quorumRenewer) adoptHeartbeat(ctx context.Context) (superseded bool) {
+	log := r.elector.options.Log
+	key, err := r.elector.options.Store.Get(ctx, storage.KeyLeaderHeartbeat)
+	if err != nil {
+		log.Debug("failed to read the heartbeat record", "term", r.leadership.Term, "err", err)
+		return false
+	}
+	var record storage.LeaderHeartbeat
+	if err := protocol.Decode(key.Value, &record); key.Version == 0 || err != nil {
+		log.Error("heartbeat record missing or malformed",
+			"term", r.leadership.Term, "version", key.Version, "err", err)
+		return false
+	}
+	log.Info("heartbeat record found that was not confirmed", "term", r.leadership.Term, "version", key.Version,
+		"record_term", record.Term, "last_known_version", r.heartbeatVersion)
+	if record.Term != r.leadership.Term {
+		return true
+	}
+	r.heartbeatVersion = key.Version
+	return false
+}
--- a/internal/coordination/election/store_test.go
+++ b/internal/coordination/election/store_test.go
@@ -28,15 +28,21 @@
 	lossRate         float64                // share of requests and replies that are lost
 	captureCampaigns bool                   // campaign transactions are captured and not applied
 	captured         []protocol.Transaction // captured campaigns, for the test to apply
+	slow             bool                   // all requests take up to slowRequestMax
+	losesReplies     bool                   // transactions are applied, but get no reply
+	heartbeatRead    func()                 // if not nil, called before each read of the heartbeat record
 }
 
+// slowRequestMax is the longest delay of a request, in milliseconds. It is below limits.StateTimeout.
+const slowRequestMax = 1400
+
 // deliver simulates the transmission of a request to the state service: it waits for a random delay, and
 // returns an error if the request is rejected or times out.
 func (u *unreliableStore) deliver(ctx context.Context) error {
 	u.mu.Lock()
 	delay := time.Duration(1+u.random.IntN(20)) * time.Millisecond
-	if u.random.Float64() < 0.03 {
-		delay = time.Duration(u.random.IntN(1400)) * time.Millisecond
+	if u.random.Float64() < 0.03 || u.slow {
+		delay = time.Duration(u.random.IntN(slowRequestMax)) * time.Millisecond
 	}
 	rejected, unanswered := time.Now().Before(u.rejectedUntil), time.Now().Before(u.unansweredUntil)
 	u.mu.Unlock()
@@ -91,6 +97,35 @@
 	u.unansweredUntil = until
 }
 
+// setSlow sets whether all requests of this node are slow.
+func (u *unreliableStore) setSlow(slow bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.slow = slow
+}
+
+// setLosesReplies sets whether the replies to all transactions of this node are lost.
+func (u *unreliableStore) setLosesReplies(lost bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.losesReplies = lost
+}
+
+// losesReply reports whether the reply to a transaction is lost.
+func (u *unreliableStore) losesReply() bool {
+	u.mu.Lock()
+	lost := u.losesReplies
+	u.mu.Unlock()
+	return lost || u.losesMessage()
+}
+
+// onHeartbeatRead sets a function that is called before each read of the heartbeat record.
+func (u *unreliableStore) onHeartbeatRead(call func()) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.heartbeatRead = call
+}
+
 // setReliable ends the rejection and the loss of messages.
 func (u *unreliableStore) setReliable() {
 	u.mu.Lock()
@@ -129,6 +164,12 @@
 	if err := u.deliver(ctx); err != nil {
 		return protocol.KeyValue{}, err
 	}
+	u.mu.Lock()
+	call := u.heartbeatRead
+	u.mu.Unlock()
+	if call != nil && key == storage.KeyLeaderHeartbeat {
+		call()
+	}
 	value, _ := u.service.Get(key)
 	return value, nil
 }
@@ -154,7 +195,7 @@
 	case http.StatusConflict:
 		return 0, &storage.ConflictError{FailedKeys: reply.FailedKeys}
 	}
-	if u.losesMessage() {
+	if u.losesReply() {
 		return 0, storage.ErrOutcomeUnknown
 	}
 	return reply.Revision, nil
