Count a write as done only while the leader key is unchanged

After a condition of a write has failed, the writer reads the records and counts the write as done if they are equal to its own. A successor that replaced the leader in between may have written equal records.

Change: readOutcome reads the leader key after the records. If it has changed, the term is over. This costs one read, on this path only.

Measured: TestSuccessorsRecordIsNotOwnWrite fails without the change (the outcome is committed with the successor's version) and passes with it.

--- a/internal/coordination/leader/errors.go
+++ b/internal/coordination/leader/errors.go
@@ -17,6 +17,8 @@
 	errRentalRejected = errors.New("rejected as malformed")
 	// errNotEntitled means that no commands were sent because this leader is not entitled at the moment.
 	errNotEntitled = errors.New("this leader is not entitled at the moment")
+	// errTermOver means that another controller has replaced this leader.
+	errTermOver = errors.New("another controller has replaced this leader")
 )
 
 // statusError is a reply of the cloud or a worker with a status that the operation does not expect.
--- a/internal/coordination/leader/writer.go
+++ b/internal/coordination/leader/writer.go
@@ -89,9 +89,14 @@
 			// The condition may have failed because an earlier attempt of this write was executed,
 			// although its reply was lost.
 			var completed scheduler.WriteCompleted
-			if completed, err = w.readOutcome(ctx, batch[0]); err == nil {
+			completed, err = w.readOutcome(ctx, batch[0])
+			switch {
+			case err == nil:
 				w.actor.sendEvent(ctx, completed)
 				return true
+			case errors.Is(err, errTermOver):
+				w.actor.reportTermLost()
+				return false
 			}
 		case errors.Is(err, storage.ErrBadRequest):
 			w.actor.log.Error("transaction rejected by the state service",
@@ -159,7 +164,9 @@
 }
 
 // readOutcome determines the outcome of a write whose conditions failed, by reading its records. The
-// write counts as completed if all its operations are applied already.
+// write counts as completed if all its operations are applied already and the leader key has been
+// unchanged until then: otherwise a successor may have written equal records. The error is errTermOver
+// if another controller has replaced the leader.
 func (w *writer) readOutcome(ctx context.Context, write scheduler.WriteRecords) (scheduler.WriteCompleted, error) {
 	var revision uint64
 	for _, op := range write.Operations {
@@ -172,6 +179,13 @@
 		}
 		revision = max(revision, stored.Version)
 	}
+	leader, err := w.actor.dispatcher.store.Get(ctx, storage.KeyLeader)
+	if err != nil {
+		return scheduler.WriteCompleted{}, err
+	}
+	if leader.Version != w.actor.leadership.KeyVersion {
+		return scheduler.WriteCompleted{}, errTermOver
+	}
 	return scheduler.WriteCompleted{ID: write.ID, Committed: true, Version: revision}, nil
 }
 
--- a/internal/coordination/leader/writer_test.go
+++ b/internal/coordination/leader/writer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -173,3 +174,14 @@
 		})
 	}
 }
+
+// TestSuccessorsRecordIsNotOwnWrite checks that a leader that is replaced after a condition of its write
+// has failed does not take an equal record of its successor for the result of its own write.
+func TestSuccessorsRecordIsNotOwnWrite(t *testing.T) {
+	f := newWriterFixture(t)
+	f.put(storage.KeyLeader, 2)
+	f.put("a", 1) // the value that the write puts
+	if outcome, err := f.readOutcome(context.Background(), createKey(1, "a")); !errors.Is(err, errTermOver) {
+		t.Errorf("outcome %+v with error %v, want error %v", outcome, err, errTermOver)
+	}
+}
