Accept heartbeats of a cancelled task only while its lease ends in time

Cause: CancelHeartbeatWindow, the time for which heartbeats of a machine with a cancelled task are accepted, was at least half of cancel_s. With a lease of 27 s and a cancel_s of 47 s, window and lease together were 50.5 s, and so were they, with other figures, for 22 s and 42 s.

Change: the window is cancel_s less the lease and its margins, never more. If the lease is longer than that, heartbeats are accepted once the tasks have ended.

Evidence and measured result: without the change TestHeldUpStartDoesNotOutliveCancellation: cancel_test.go:200: lease renewed 20.2s after the cancellation (22 of 42) cancel_test.go:200: lease renewed 23.23s after the cancellation (27 of 47) and two rows more; all rows pass with it.

--- a/internal/coordination/scheduler/cancel_test.go
+++ b/internal/coordination/scheduler/cancel_test.go
@@ -94,6 +94,54 @@
 	}
 }
 
+// cancelSetting is a worker lease and the time within which the tasks of a cancelled job must have ended.
+type cancelSetting struct{ lease, cancelWithin time.Duration }
+
+// cancelSettings are the settings with which cancellations are tested.
+var cancelSettings = []cancelSetting{
+	{14 * time.Second, 34 * time.Second},
+	{22 * time.Second, 42 * time.Second},
+	{27 * time.Second, 47 * time.Second},
+	{27 * time.Second, 30 * time.Second},
+	{30 * time.Second, 30 * time.Second},
+}
+
+// TestHeldUpStartDoesNotOutliveCancellation checks a machine to which a start was sent directly without a
+// reply before its job was cancelled. The start may arrive at any time while the lease lasts, so the lease
+// must end within cancel_s although the heartbeats do not list the task.
+func TestHeldUpStartDoesNotOutliveCancellation(t *testing.T) {
+	for _, settings := range cancelSettings {
+		t.Run(fmt.Sprintf("lease %v of %v", settings.lease, settings.cancelWithin), func(t *testing.T) {
+			f := newSchedulerFixtureWithTimes(t, 1, settings.lease, settings.cancelWithin)
+			f.sendHeartbeat(0)
+			f.submitJob("job-1", "red", "standard", 1, 8, 0)
+			if len(f.directCommands()) != 1 {
+				t.Fatalf("effects %+v, want a direct start", f.effects)
+			}
+			f.answerDirectCommands(nil)
+			f.cancel("job-1", 0)
+			cancelledAt, renewedAt := f.now, time.Duration(0)
+			for f.now < cancelledAt+settings.cancelWithin {
+				f.now += time.Second
+				if f.sendAndCheckAccepted(f.heartbeat(f.machine(0))) {
+					renewedAt = f.now
+				}
+			}
+			if renewedAt != 0 && renewedAt+settings.lease > cancelledAt+settings.cancelWithin {
+				t.Errorf("lease renewed %v after the cancellation", renewedAt-cancelledAt)
+			}
+		})
+	}
+}
+
+// answerDirectCommands answers the direct commands of the last event with a heartbeat, or with none if the
+// workers did not reply.
+func (f *schedulerFixture) answerDirectCommands(heartbeat *protocol.Heartbeat) {
+	for _, sent := range f.directCommands() {
+		f.step(DirectCommandsDone{ID: sent.ID, Machine: sent.Machine, Heartbeat: heartbeat})
+	}
+}
+
 // confirmDirectStarts answers the direct commands of the last event as workers that have started the
 // tasks, one task per command. It returns the last of these tasks.
 func (f *schedulerFixture) confirmDirectStarts() protocol.TaskStatus {
--- a/internal/coordination/scheduler/scheduler_fixture_test.go
+++ b/internal/coordination/scheduler/scheduler_fixture_test.go
@@ -22,6 +22,14 @@
 }
 
 func newSchedulerFixture(t *testing.T, machines int) *schedulerFixture {
+	return newSchedulerFixtureWithTimes(t, machines, 14*time.Second, 34*time.Second)
+}
+
+// newSchedulerFixtureWithTimes returns a fixture whose settings have the given worker lease and the given
+// time within which the tasks of a cancelled job must have ended.
+func newSchedulerFixtureWithTimes(
+	t *testing.T, machines int, workerLease, cancelWithin time.Duration,
+) *schedulerFixture {
 	cfg := Config{
 		Term: 3,
 		Teams: []config.Team{
@@ -29,7 +37,7 @@
 			{Name: "blue", GuaranteedCPUs: 8, MaxCPUs: 100},
 		},
 		Workers: config.WorkerTimes{
-			HeartbeatIntervalS: 2, LeaseS: 14, CancelWithinS: 34,
+			HeartbeatIntervalS: 2, LeaseS: workerLease.Seconds(), CancelWithinS: cancelWithin.Seconds(),
 			GangWaitTimeoutS: seconds(20), GangPeerDetectionS: seconds(4),
 		},
 		State:   config.StateLimits{WriteRPS: 20, ValueKB: 4, TxnOps: 8},
--- a/internal/limits/jobs.go
+++ b/internal/limits/jobs.go
@@ -47,7 +47,7 @@
 // CancelHeartbeatWindow returns how long after a cancellation the leader still replies to heartbeats of a
 // machine that has tasks of the cancelled job. Without further replies the worker lease expires, and the
 // tasks end within cancelWithin even if deleting the machine fails. If the worker lease is too long for
-// that, the window is half of cancelWithin, and the tasks may end later.
+// that, the window is 0: the leader replies only once the tasks have ended.
 func CancelHeartbeatWindow(cancelWithin, workerLease time.Duration) time.Duration {
-	return max(cancelWithin-LeaseExpiredAfter(workerLease), cancelWithin/2)
+	return max(cancelWithin-LeaseExpiredAfter(workerLease), 0)
 }
