Renew no lease for longer than a cancelled task may run

Cause: the answer to a heartbeat with the token of an earlier leader renewed the lease whatever was cancelled. Nothing is assigned to the machine yet at that moment, and its task list was not used. The invariant that was lost: an answer renews a lease only if this lease ends within cancel_s of the cancellation of every job of which a task may be on the machine. On top of that, no stop left: a rejected heartbeat carries none, and a machine that is to be deleted got no direct commands, even if the cloud is down.

Change: all three answers that renew a lease ask mayRenewLease, which looks at the assigned tasks and at those that the heartbeat lists. Listed tasks of cancelled jobs are stopped by the answer to an earlier term's heartbeat. After a rejected heartbeat, stops are sent directly, also if earlier ones got no reply, or the worker is probed so that it sees the term's token. Machines that are to be deleted get direct stops. Two log lines say when a lease is not renewed and when an earlier term's task is stopped, and how long after the cancellation.

--- a/internal/coordination/scheduler/cancel_deadlines.go
+++ b/internal/coordination/scheduler/cancel_deadlines.go
@@ -4,17 +4,70 @@
 	"time"
 
 	"quillshunt/internal/limits"
+	"quillshunt/internal/protocol"
 )
 
-// holdsCancelledTask reports whether a machine may still run a task of a cancelled job for which the
-// time returned by deadline has passed.
-func (e *environment) holdsCancelledTask(m *machine, deadline func(*job) time.Duration) bool {
+// mayRenewLease reports whether the reply to a heartbeat may renew the worker's lease. It must not once a
+// task of a cancelled job that may be on the machine would run for longer than cancel_s if no further
+// message reached the worker. Such a task is assigned to the machine, or is listed by the heartbeat, as an
+// earlier leader may have started it. The machine is nil if it is unknown.
+func (s *Scheduler) mayRenewLease(m *machine, heartbeat *protocol.Heartbeat) bool {
+	var overdue *job
+	if m != nil {
+		overdue = s.findCancelledJob(m, s.cancelReplyUntil)
+	}
+	s.eachCancelledTask(heartbeat, func(j *job, _ *protocol.TaskStatus) {
+		if s.now > s.cancelReplyUntil(j) {
+			overdue = j
+		}
+	})
+	if overdue != nil {
+		s.logInfo("worker lease not renewed", keyReason, "cancelled task does not stop", keyMachine, heartbeat.Machine,
+			keyJob, overdue.id, keySinceCancellation, s.now-overdue.cancelledAt)
+	}
+	return overdue == nil
+}
+
+// stopsOfCancelledTasks returns the commands that stop the tasks of cancelled jobs that a heartbeat lists.
+func (s *Scheduler) stopsOfCancelledTasks(heartbeat *protocol.Heartbeat) []protocol.Command {
+	var commands []protocol.Command
+	s.eachCancelledTask(heartbeat, func(j *job, status *protocol.TaskStatus) {
+		if len(commands) >= limits.MaxCommands {
+			return
+		}
+		commands = append(commands, s.stopUnexpectedTask(heartbeat.Machine, j, status))
+		s.logInfo("stopping cancelled task of an earlier term", keyMachine, heartbeat.Machine,
+			keyJob, j.id, keySinceCancellation, s.now-j.cancelledAt)
+	})
+	return commands
+}
+
+// eachCancelledTask calls visit for each task of a cancelled job that a heartbeat lists and that has not
+// ended.
+func (s *Scheduler) eachCancelledTask(
+	heartbeat *protocol.Heartbeat, visit func(j *job, status *protocol.TaskStatus),
+) {
+	for i := range heartbeat.Tasks {
+		status := &heartbeat.Tasks[i]
+		if status.State == protocol.TaskEnded {
+			continue
+		}
+		jobID, _, ok := protocol.ParseTaskName(status.Task)
+		if j := s.jobs.find(jobID); ok && j != nil && j.cancelled {
+			visit(j, status)
+		}
+	}
+}
+
+// findCancelledJob returns a cancelled job of which a machine may still run an assigned task although the
+// time returned by deadline has passed, or nil if there is none.
+func (e *environment) findCancelledJob(m *machine, deadline func(*job) time.Duration) *job {
 	for _, a := range m.assignments {
 		if a.job.cancelled && a.state != stateUnsent && e.now > deadline(a.job) {
-			return true
+			return a.job
 		}
 	}
-	return false
+	return nil
 }
 
 // cancelDeletionAt returns the time at which a machine that still has a task of a cancelled job is
@@ -31,9 +84,9 @@
 
 // cancelReplyUntil returns the time until which the heartbeats of a machine that still has a task of a
 // cancelled job are accepted. If the deletion of the machine is not confirmed by then, only the expiry
-// of its lease can still end the task within cancel_s, so the lease is no longer renewed. That works
+// of its lease is certain to end the task within cancel_s, so the lease is no longer renewed. That works
 // even if the worker ignores stop commands, or hangs and then resumes. The machine's other tasks are
-// lost, as they would be by the deletion.
+// lost, as they would be by the deletion, unless a direct stop ends the task before the lease expires.
 func (e *environment) cancelReplyUntil(j *job) time.Duration {
 	return j.cancelledAt + limits.CancelHeartbeatWindow(limits.Seconds(e.cfg.Workers.CancelWithinS), e.workerLease)
 }
--- a/internal/coordination/scheduler/cancel_test.go
+++ b/internal/coordination/scheduler/cancel_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -106,6 +107,77 @@
 	{30 * time.Second, 30 * time.Second},
 }
 
+// TestNewLeaderLetsLeaseOfCancelledTaskExpire checks a machine that runs a task of a cancelled job and
+// reaches a new leader some time after the cancellation, with the fencing token of the earlier leader. The
+// reply must not renew its lease beyond cancel_s, however the heartbeat arrives, and while it may renew it,
+// it must stop the task.
+func TestNewLeaderLetsLeaseOfCancelledTaskExpire(t *testing.T) {
+	routes := map[string]func(*schedulerFixture, *protocol.Heartbeat) HeartbeatReply{
+		"direct":          (*schedulerFixture).sendUnfenced,
+		"machine unknown": (*schedulerFixture).sendUnfencedFromUnknownMachine,
+		"relayed":         (*schedulerFixture).sendUnfencedRelayed,
+		"returned":        (*schedulerFixture).sendUnfencedFromReturnedMachine,
+		"already fenced":  (*schedulerFixture).sendUnfencedAfterProbe,
+	}
+	for name, send := range routes {
+		for _, settings := range cancelSettings {
+			t.Run(fmt.Sprintf("%s, lease %v of %v", name, settings.lease, settings.cancelWithin), func(t *testing.T) {
+				for age := time.Duration(0); age < settings.cancelWithin; age += time.Second {
+					f := newSchedulerFixtureWithTimes(t, 2, settings.lease, settings.cancelWithin)
+					f.submitJob("job-1", "red", "standard", 1, 8, 0)
+					f.cancel("job-1", age)
+					cancelledAt := f.now - age
+					reply := send(f, f.heartbeat(f.machine(0), runningTask("job-1/0")))
+					elapsed := f.now - cancelledAt
+					switch endsInTime := elapsed+settings.lease <= settings.cancelWithin; {
+					case reply.Accepted && !endsInTime:
+						t.Errorf("lease renewed %v after the cancellation", elapsed)
+					case reply.Accepted && countVerb(reply.Commands, protocol.CommandStop) != 1:
+						t.Errorf("reply %v after the cancellation has the commands %v, want a stop",
+							elapsed, reply.Commands)
+					case !reply.Accepted && elapsed+limits.LeaseExpiredAfter(settings.lease) < settings.cancelWithin:
+						t.Errorf("heartbeat rejected %v after the cancellation, when the lease may be renewed", elapsed)
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestOverdueStopIsSentDirectly checks that a machine whose heartbeats are rejected because of a cancelled
+// task still gets stops: after a heartbeat with an earlier token it is probed, and after each heartbeat with
+// this term's token the stop is sent directly. That holds even if the machine is to be deleted, its
+// heartbeats are relayed, and earlier stops got no reply.
+func TestOverdueStopIsSentDirectly(t *testing.T) {
+	const lease, cancelWithin = 27 * time.Second, 47 * time.Second
+	f := newSchedulerFixtureWithTimes(t, 2, lease, cancelWithin)
+	f.submitJob("job-1", "red", "standard", 1, 8, 0)
+	f.cancel("job-1", cancelWithin-lease)
+	m := f.scheduler.inventory.find(f.machine(0))
+	f.scheduler.returnMachine(m, "test")
+	f.now += limits.ProbeInterval
+	task := runningTask("job-1/0")
+	if reply := f.sendUnfenced(f.heartbeat(m.name, task)); reply.Accepted {
+		t.Fatal("lease renewed for an overdue task")
+	}
+	probed := slices.ContainsFunc(f.effects, func(e Effect) bool { _, ok := e.(ProbeMachine); return ok })
+	if !probed {
+		t.Errorf("effects %+v, want a probe", f.effects)
+	}
+	f.step(ProbeDone{Machine: m.name, Heartbeat: f.heartbeat(m.name, task)})
+	f.answerDirectCommands(nil)
+	for range 3 {
+		f.now += time.Second
+		m.missedProbes = 1 // so that a relayed heartbeat is processed
+		f.step(HeartbeatReceived{Entitled: true, Relayed: true, Heartbeat: f.heartbeat(m.name, task)})
+		sent := f.directCommands()
+		if len(sent) != 1 || countVerb(sent[0].Commands, protocol.CommandStop) != 1 {
+			t.Fatalf("direct commands %+v after a rejected heartbeat, want one stop", sent)
+		}
+		f.answerDirectCommands(nil)
+	}
+}
+
 // TestHeldUpStartDoesNotOutliveCancellation checks a machine to which a start was sent directly without a
 // reply before its job was cancelled. The start may arrive at any time while the lease lasts, so the lease
 // must end within cancel_s although the heartbeats do not list the task.
@@ -134,6 +206,11 @@
 	}
 }
 
+// runningTask returns the status of a running task that an earlier term has started.
+func runningTask(task string) protocol.TaskStatus {
+	return protocol.TaskStatus{Task: task, Attempt: 1, State: protocol.TaskRunning}
+}
+
 // answerDirectCommands answers the direct commands of the last event with a heartbeat, or with none if the
 // workers did not reply.
 func (f *schedulerFixture) answerDirectCommands(heartbeat *protocol.Heartbeat) {
@@ -142,6 +219,46 @@
 	}
 }
 
+// sendUnfenced sends a heartbeat with the fencing token of the term before, and returns the reply.
+func (f *schedulerFixture) sendUnfenced(heartbeat *protocol.Heartbeat) HeartbeatReply {
+	return f.sendUnfencedEvent(HeartbeatReceived{Entitled: true, Heartbeat: heartbeat})
+}
+
+func (f *schedulerFixture) sendUnfencedEvent(event HeartbeatReceived) HeartbeatReply {
+	f.t.Helper()
+	event.Heartbeat.FencingToken = 2
+	for _, effect := range f.step(event) {
+		if reply, ok := effect.(HeartbeatReply); ok {
+			return reply
+		}
+	}
+	f.t.Fatalf("no reply to a heartbeat: %+v", f.effects)
+	return HeartbeatReply{}
+}
+
+func (f *schedulerFixture) sendUnfencedFromUnknownMachine(heartbeat *protocol.Heartbeat) HeartbeatReply {
+	heartbeat.Machine = "m-unknown"
+	return f.sendUnfenced(heartbeat)
+}
+
+// sendUnfencedRelayed sends a heartbeat through another controller, from a machine that did not answer a
+// probe.
+func (f *schedulerFixture) sendUnfencedRelayed(heartbeat *protocol.Heartbeat) HeartbeatReply {
+	f.scheduler.inventory.find(heartbeat.Machine).missedProbes = 1
+	return f.sendUnfencedEvent(HeartbeatReceived{Entitled: true, Relayed: true, Heartbeat: heartbeat})
+}
+
+func (f *schedulerFixture) sendUnfencedFromReturnedMachine(heartbeat *protocol.Heartbeat) HeartbeatReply {
+	f.scheduler.returnMachine(f.scheduler.inventory.find(heartbeat.Machine), "test")
+	return f.sendUnfenced(heartbeat)
+}
+
+// sendUnfencedAfterProbe sends a heartbeat that was sent before the worker answered a probe.
+func (f *schedulerFixture) sendUnfencedAfterProbe(heartbeat *protocol.Heartbeat) HeartbeatReply {
+	f.step(ProbeDone{Machine: heartbeat.Machine, Heartbeat: f.heartbeat(heartbeat.Machine, heartbeat.Tasks...)})
+	return f.sendUnfenced(heartbeat)
+}
+
 // confirmDirectStarts answers the direct commands of the last event as workers that have started the
 // tasks, one task per command. It returns the last of these tasks.
 func (f *schedulerFixture) confirmDirectStarts() protocol.TaskStatus {
--- a/internal/coordination/scheduler/commands.go
+++ b/internal/coordination/scheduler/commands.go
@@ -36,8 +36,7 @@
 			commands = append(commands, a.startCommand())
 		}
 		if a.stopping && (channel == inHeartbeatReply || !a.stopSent) {
-			a.stopSent = true
-			commands = append(commands, a.stopCommand())
+			commands = append(commands, a.sendStop())
 		}
 	}
 	slices.SortStableFunc(assignments, func(a, b *assignment) int {
@@ -46,6 +45,17 @@
 	return t.appendStarts(m, assignments, channel, commands)
 }
 
+// appendStops appends the stops of all tasks of a machine that are being stopped, also of those to which a
+// stop was sent before.
+func (t *assignmentTable) appendStops(m *machine, commands []protocol.Command) []protocol.Command {
+	for _, a := range m.sortedAssignments() {
+		if a.state != stateUnsent && a.stopping {
+			commands = append(commands, a.sendStop())
+		}
+	}
+	return commands
+}
+
 // appendStarts appends the starts of unsent assignments that may be sent now. It releases unsent assignments
 // of cancelled jobs, and all of them if the machine is to be deleted or has a spot notice.
 func (t *assignmentTable) appendStarts(
@@ -96,6 +106,12 @@
 	return protocol.Command{Verb: protocol.CommandStart, Task: a.taskName, Attempt: a.attempt}
 }
 
+// sendStop returns the command to stop a task, and records that it is sent.
+func (a *assignment) sendStop() protocol.Command {
+	a.stopSent = true
+	return a.stopCommand()
+}
+
 // stopCommand returns the command to stop a task, with the time that the task has to save a checkpoint.
 func (a *assignment) stopCommand() protocol.Command {
 	grace := 0.0
--- a/internal/coordination/scheduler/dispatcher.go
+++ b/internal/coordination/scheduler/dispatcher.go
@@ -45,11 +45,17 @@
 	return d.lastID
 }
 
-// canSendTo reports whether a direct command may be sent to a machine now.
+// canSendTo reports whether a direct command may be sent to a machine now. A machine that is to be deleted
+// gets stops and corrections too: the cloud may confirm its deletion late, or not at all.
 func (d *commandDispatcher) canSendTo(m *machine) bool {
+	return d.canAddress(m) && d.now >= m.directBackoffUntil && !d.isStale(m) && !m.relayed
+}
+
+// canAddress reports whether what is known of a machine's worker is enough for a direct command, and no
+// other one is in flight to it.
+func (d *commandDispatcher) canAddress(m *machine) bool {
 	known := m.address != "" && m.hasReported && m.fenced && m.hasLiveIncarnation()
-	fresh := d.now >= m.directBackoffUntil && !d.isStale(m)
-	return known && fresh && m.pendingDirectID == 0 && !m.relayed && !m.deleting
+	return known && m.pendingDirectID == 0
 }
 
 // send sends commands to a machine for which canSendTo holds.
@@ -85,6 +91,15 @@
 	}
 }
 
+// sendOverdueStops sends commands that include stops of cancelled tasks to a machine whose heartbeat was
+// rejected because of these tasks. It does so even if direct commands have failed before or the heartbeat
+// was relayed: no reply carries stops to this machine any more.
+func (d *commandDispatcher) sendOverdueStops(m *machine, commands []protocol.Command) {
+	if len(commands) > 0 && d.canAddress(m) {
+		d.send(m, commands)
+	}
+}
+
 // sendUrgent sends the stops of gang tasks before all other commands and regardless of the limit on
 // commands in flight: if one task of a gang is stopped too late, the work of all its tasks is lost. A
 // machine to which no direct command can be sent now gets its stops in the reply to its next heartbeat, or
--- a/internal/coordination/scheduler/heartbeat.go
+++ b/internal/coordination/scheduler/heartbeat.go
@@ -56,8 +56,9 @@
 	if heartbeat.Sequence > m.taskListSequence { // else a newer reply to a direct command or probe was processed
 		commands = s.reconcileTasks(m, heartbeat, 0)
 	}
-	if s.holdsCancelledTask(m, s.cancelReplyUntil) {
+	if !s.mayRenewLease(m, heartbeat) {
 		s.rejectHeartbeat(e)
+		s.dispatcher.sendOverdueStops(m, s.assignments.appendStops(m, commands))
 		return
 	}
 	m.leaseRenewedAt = s.now
@@ -81,7 +82,7 @@
 func (s *Scheduler) replyToOutdatedHeartbeat(e HeartbeatReceived, m *machine) {
 	isNewest := e.Heartbeat.Incarnation == m.incarnation && e.Heartbeat.Sequence == m.heartbeatSequence
 	justAnswered := s.now < m.lastHeartbeatAt+limits.HeartbeatReplyTimeout
-	if !isNewest || !justAnswered || !m.hasLiveIncarnation() || s.holdsCancelledTask(m, s.cancelReplyUntil) {
+	if !isNewest || !justAnswered || !m.hasLiveIncarnation() || !s.mayRenewLease(m, e.Heartbeat) {
 		s.rejectHeartbeat(e)
 		return
 	}
@@ -90,17 +91,17 @@
 
 // replyToUnfencedHeartbeat replies to a heartbeat that carries the fencing token of an earlier term. The
 // heartbeat may be a delayed duplicate from a machine that has failed or was deleted since, so its task list
-// is ignored. The reply renews the lease of a worker that receives it, so the lease counts as renewed. The
-// worker's next heartbeat then carries this term's token, which a delayed duplicate cannot.
+// is not used, except that tasks of cancelled jobs are stopped, and that the lease is not renewed if they
+// would run too long. The reply renews the lease of a worker that receives it, so the lease counts as
+// renewed. The worker's next heartbeat then carries this term's token, which a delayed duplicate cannot. If
+// the lease is not renewed, a probe conveys the token.
 func (s *Scheduler) replyToUnfencedHeartbeat(e HeartbeatReceived) {
 	m := s.inventory.find(e.Heartbeat.Machine)
 	switch {
 	case m == nil && e.Relayed:
 		s.redirectHeartbeat(e)
 		return
-	case m == nil:
-		s.emit(HeartbeatReply{ReplyTo: e.ReplyTo, Accepted: true})
-		return
+	case m == nil: // its route is not tracked
 	case m.hasReported && e.Heartbeat.Incarnation < m.incarnation, e.Heartbeat.Incarnation <= m.endedIncarnation:
 		s.rejectHeartbeat(e)
 		return
@@ -108,11 +109,18 @@
 		s.redirectHeartbeat(e)
 		return
 	}
-	if !m.fenced {
+	if !s.mayRenewLease(m, e.Heartbeat) {
+		s.rejectHeartbeat(e)
+		if m != nil {
+			s.prober.probeUnlessTooSoon(m)
+		}
+		return
+	}
+	if m != nil && !m.fenced {
 		// If the machine is fenced, the worker sent this heartbeat before it saw this term's token. A lease
 		// runs from the sending of the heartbeat, so the renewal time that observeIncarnation recorded
 		// when it marked the machine as fenced is late enough.
 		m.leaseRenewedAt = s.now
 	}
-	s.emit(HeartbeatReply{ReplyTo: e.ReplyTo, Accepted: true})
+	s.emit(HeartbeatReply{ReplyTo: e.ReplyTo, Accepted: true, Commands: s.stopsOfCancelledTasks(e.Heartbeat)})
 }
--- a/internal/coordination/scheduler/log_keys.go
+++ b/internal/coordination/scheduler/log_keys.go
@@ -13,4 +13,6 @@
 	keyType     = "type"    // machine type
 	keyZone     = "zone"
 	keySpot     = "spot"
+
+	keySinceCancellation = "since_cancellation" // time since the user may have been notified
 )
--- a/internal/coordination/scheduler/machine_removal.go
+++ b/internal/coordination/scheduler/machine_removal.go
@@ -97,7 +97,7 @@
 		}
 	case m.spotNotice && len(m.assignments) == 0 && m.hasOnlyDurableResults():
 		return "spot notice"
-	case s.holdsCancelledTask(m, s.cancelDeletionAt):
+	case s.findCancelledJob(m, s.cancelDeletionAt) != nil:
 		return "cancelled task does not stop"
 	}
 	return ""
--- a/internal/coordination/scheduler/prober.go
+++ b/internal/coordination/scheduler/prober.go
@@ -89,8 +89,15 @@
 // probeIfDue probes a machine if a probe is due and the rate limit allows it. It skips machines that have no
 // address, are being deleted, or are in the verification grace period.
 func (p *machineProber) probeIfDue(m *machine) {
-	if p.isInVerificationGracePeriod(m) || m.address == "" || m.deleting || p.now < m.nextProbeAt ||
-		!p.limiter.allow() {
+	if !p.isInVerificationGracePeriod(m) && !m.deleting {
+		p.probeUnlessTooSoon(m)
+	}
+}
+
+// probeUnlessTooSoon probes a machine that has an address if the interval between probes and the rate limit
+// allow it.
+func (p *machineProber) probeUnlessTooSoon(m *machine) {
+	if m.address == "" || p.now < m.nextProbeAt || !p.limiter.allow() {
 		return
 	}
 	m.nextProbeAt = p.now + limits.ProbeInterval
--- a/internal/coordination/scheduler/reconcile.go
+++ b/internal/coordination/scheduler/reconcile.go
@@ -36,7 +36,7 @@
 			listed[status.Task] = true
 			continue
 		}
-		commands = append(commands, s.stopUnexpectedTask(m, j, status))
+		commands = append(commands, s.stopUnexpectedTask(m.name, j, status))
 	}
 	m.endedTasks = endedTasks
 	s.reconcileMissingTasks(m, listed, directID)
@@ -137,9 +137,9 @@
 }
 
 // stopUnexpectedTask returns the command that stops a task that must not run on a machine.
-func (s *Scheduler) stopUnexpectedTask(m *machine, j *job, status *protocol.TaskStatus) protocol.Command {
+func (s *Scheduler) stopUnexpectedTask(machine string, j *job, status *protocol.TaskStatus) protocol.Command {
 	if j == nil || !j.cancelled {
-		s.logWarn("unexpected task stopped", keyTask, status.Task, keyAttempt, status.Attempt, keyMachine, m.name)
+		s.logWarn("unexpected task stopped", keyTask, status.Task, keyAttempt, status.Attempt, keyMachine, machine)
 	}
 	noGrace := 0.0
 	return protocol.Command{Verb: protocol.CommandStop, Task: status.Task, Attempt: status.Attempt, GraceS: &noGrace}
--- a/internal/coordination/scheduler/simulation_cloud_test.go
+++ b/internal/coordination/scheduler/simulation_cloud_test.go
@@ -61,6 +61,10 @@
 // either the request or only the reply was lost.
 func (s *simulation) deleteMachines(controller *simulatedController, names []string) {
 	s.afterFunc(s.randomDuration(50*time.Millisecond, time.Second), func() {
+		if s.now < s.deletionsFailUntil {
+			s.step(controller, DeletionDone{Machines: names})
+			return
+		}
 		confirmed := !s.withProbability(0.2)
 		deleted := confirmed || s.withProbability(0.5)
 		for _, name := range names {
--- a/internal/coordination/scheduler/simulation_scenario_test.go
+++ b/internal/coordination/scheduler/simulation_scenario_test.go
@@ -43,6 +43,7 @@
 // TestReplay simulates the scenario of one seed and prints all effects of the schedulers, to investigate
 // a failure of TestRules:
 // QUILLSHUNT_SEED=0x7ec8 go test ./internal/coordination/scheduler -run TestReplay -v
+// With QUILLSHUNT_SCENARIO=cancellation, it simulates the scenario of TestRulesOfCancellations instead.
 func TestReplay(t *testing.T) {
 	text := os.Getenv("QUILLSHUNT_SEED")
 	if text == "" {
@@ -54,6 +55,10 @@
 	}
 	s := newSimulation(t, seed)
 	s.trace = true
+	if os.Getenv("QUILLSHUNT_SCENARIO") == "cancellation" {
+		runCancellationScenario(s)
+		return
+	}
 	runRandomScenario(s)
 }
 
@@ -80,6 +85,11 @@
 		}
 		s.advance()
 	}
+	s.finishAllJobs()
+}
+
+// finishAllJobs ends all faults and simulates a phase that lasts until no job is open.
+func (s *simulation) finishAllJobs() {
 	s.endFaults()
 	deadline := s.now + maxFaultFreePhase
 	for s.now < deadline && len(s.sortedKeysWithPrefix(storage.PrefixOpenJob)) > 0 {
@@ -107,8 +117,9 @@
 // because their tasks always fail.
 func (s *simulation) endFaults() {
 	s.faultFree = true
+	s.deletionsFailUntil, s.longTasks = 0, false
 	for _, machine := range s.machines {
-		machine.partitionedUntil, machine.unreachableUntil = 0, 0
+		machine.partitionedUntil, machine.unreachableUntil, machine.ignoresStops = 0, 0, false
 		machine.hungUntil = min(machine.hungUntil, s.now+time.Second)
 	}
 	for _, key := range s.sortedKeysWithPrefix(storage.PrefixOpenJob) {
--- a/internal/coordination/scheduler/simulation_test.go
+++ b/internal/coordination/scheduler/simulation_test.go
@@ -17,24 +17,26 @@
 	random *rand.Rand
 	now    time.Duration
 
-	faultFree         bool // network faults have ended
-	trace             bool // print all effects of the schedulers
-	records           map[string]storedRecord
-	revision          uint64                 // of the state service, after the newest write
-	term              uint64                 // of the newest leader
-	leaders           []*simulatedController // one for each term, the newest last
-	machines          map[string]*simulatedMachine
-	machineSequence   int
-	rentedMachines    map[string][]string // names of the machines rented by each request
-	types             []protocol.MachineType
-	teams             []config.Team
-	workerTimes       config.WorkerTimes
-	jobs              map[string]*simulatedJob
-	jobSequence       int
-	scheduledCalls    []scheduledCall                  // in the order in which they were scheduled
-	alwaysFailingJobs map[string]bool                  // IDs of jobs whose tasks fail on every machine
-	gangAttempts      map[string]*simulatedGangAttempt // by job ID and attempt
-	gangEvents        *gangEventCounts                 // shared by all scenarios of a test
+	faultFree          bool          // network faults have ended
+	longTasks          bool          // tasks run for longer than a cancellation may take
+	deletionsFailUntil time.Duration // until then, the cloud deletes no machines
+	trace              bool          // print all effects of the schedulers
+	records            map[string]storedRecord
+	revision           uint64                 // of the state service, after the newest write
+	term               uint64                 // of the newest leader
+	leaders            []*simulatedController // one for each term, the newest last
+	machines           map[string]*simulatedMachine
+	machineSequence    int
+	rentedMachines     map[string][]string // names of the machines rented by each request
+	types              []protocol.MachineType
+	teams              []config.Team
+	workerTimes        config.WorkerTimes
+	jobs               map[string]*simulatedJob
+	jobSequence        int
+	scheduledCalls     []scheduledCall                  // in the order in which they were scheduled
+	alwaysFailingJobs  map[string]bool                  // IDs of jobs whose tasks fail on every machine
+	gangAttempts       map[string]*simulatedGangAttempt // by job ID and attempt
+	gangEvents         *gangEventCounts                 // shared by all scenarios of a test
 }
 
 // withProbability returns true with probability p.
--- a/internal/coordination/scheduler/simulation_worker_test.go
+++ b/internal/coordination/scheduler/simulation_worker_test.go
@@ -15,6 +15,7 @@
 	statusReportDelay     = 500 * time.Millisecond // from a change of its tasks until the next heartbeat, at most
 	heartbeatReplyTimeout = 4 * time.Second        // from a heartbeat until it stops waiting for the reply
 	heartbeatRetryDelay   = time.Second            // from a failed heartbeat until the next one
+	longTaskRunTime       = 60 * time.Second       // additional run time of long tasks
 )
 
 // simulatedMachine is a rented machine and the worker on it.
@@ -27,6 +28,7 @@
 	hungUntil        time.Duration
 	partitionedUntil time.Duration
 	unreachableUntil time.Duration        // its heartbeats arrive, but no replies, direct commands or probes reach it
+	ignoresStops     bool                 // stop commands have no effect
 	connectedTo      *simulatedController // leader whose connection the next heartbeat reuses; nil: none
 	incarnation      uint64
 	sequence         uint64
@@ -192,6 +194,9 @@
 	task.state = protocol.TaskRunning
 	if task.endsAt == 0 {
 		task.endsAt = s.now + s.randomDuration(2*time.Second, 12*time.Second)
+		if s.longTasks {
+			task.endsAt += longTaskRunTime
+		}
 	}
 	machine.sendHeartbeatBy(s.now + statusReportDelay)
 	s.checkStartedTask(machine, task)
@@ -257,7 +262,7 @@
 				s.addTask(machine, command, otherAttempt)
 			}
 		case protocol.CommandStop:
-			if task != nil && task.state != protocol.TaskEnded {
+			if task != nil && task.state != protocol.TaskEnded && !machine.ignoresStops {
 				s.stopTask(machine, task, command.GraceS)
 			}
 		case protocol.CommandForget:
