Take the age of a cancellation when the scheduler processes it

A new leader took the age of a cancellation when it read the record of the job, and passed it to the scheduler after it had read all other records. Each second in between made the time for which leases are renewed a second too long; the margin is half a second. Likewise, the time began anew as soon as the upper bound of the age had reached cancel_s, which is up to four times the allowed clock skew before the time is over.

Change: the actor adds the ages when it passes the event to the scheduler. The event carries both bounds; the time begins anew only if the lower one has reached cancel_s.

--- a/internal/coordination/leader/load.go
+++ b/internal/coordination/leader/load.go
@@ -97,25 +97,34 @@
 	return revision, events, err
 }
 
-// decodeOpenJob decodes the record of an open job into an event.
+// decodeOpenJob decodes the record of an open job into an event. The actor adds the times since the
+// submission and the cancellation; see addTimesSince.
 func (t *termActor) decodeOpenJob(key string, data protocol.Raw, version uint64) (scheduler.JobChanged, error) {
 	var record storage.OpenJob
 	if err := protocol.Decode(data, &record); err != nil {
 		return scheduler.JobChanged{}, fmt.Errorf("decode open job %s: %w", key, err)
 	}
-	change := scheduler.JobChanged{
-		JobID:           strings.TrimPrefix(key, storage.PrefixOpenJob),
-		Version:         version,
-		Record:          record,
-		SinceSubmission: max(sinceUnixMilli(record.SubmittedAtMs), 0),
-	}
-	if record.CancelledAtMs != 0 {
+	return scheduler.JobChanged{
+		JobID:   strings.TrimPrefix(key, storage.PrefixOpenJob),
+		Version: version,
+		Record:  record,
+	}, nil
+}
+
+// addTimesSince adds the times since the submission and the cancellation of a job to an event. The actor
+// does so when it passes the event to the scheduler, as the event may have waited until then: while the
+// other records of earlier terms were read, or in the mailbox.
+func (t *termActor) addTimesSince(change scheduler.JobChanged) scheduler.JobChanged {
+	change.SinceSubmission = max(sinceUnixMilli(change.Record.SubmittedAtMs), 0)
+	if change.Record.CancelledAtMs != 0 {
 		// CancelledAtMs is a time of another controller's clock. Each of the two clocks may be off by
-		// MaxClockSkewMs, so twice that is added: SinceCancellation must not be too short.
-		skew := limits.Seconds(t.dispatcher.settings.Deployment.MaxClockSkewMs / 1000)
-		change.SinceCancellation = max(sinceUnixMilli(record.CancelledAtMs)+2*skew, 0)
+		// MaxClockSkewMs.
+		maxError := 2 * limits.Seconds(t.dispatcher.settings.Deployment.MaxClockSkewMs/1000)
+		since := sinceUnixMilli(change.Record.CancelledAtMs)
+		change.SinceCancellation = max(since+maxError, 0)
+		change.MinSinceCancellation = max(since-maxError, 0)
 	}
-	return change, nil
+	return change
 }
 
 // sinceUnixMilli returns the time since a Unix time in milliseconds. It is negative for a future time.
--- a/internal/coordination/leader/term_actor.go
+++ b/internal/coordination/leader/term_actor.go
@@ -149,6 +149,9 @@
 
 // step passes an event to the scheduler and executes the resulting effects.
 func (t *termActor) step(ctx context.Context, event scheduler.Event) {
+	if change, ok := event.(scheduler.JobChanged); ok {
+		event = t.addTimesSince(change)
+	}
 	for _, effect := range t.scheduler.Step(event, t.now()) {
 		t.executeEffect(ctx, effect)
 	}
--- a/internal/coordination/scheduler/cancel_test.go
+++ b/internal/coordination/scheduler/cancel_test.go
@@ -8,6 +8,7 @@
 
 	"quillshunt/internal/limits"
 	"quillshunt/internal/protocol"
+	"quillshunt/internal/storage"
 )
 
 // TestCancelledTaskOnMachineWithSpotNotice checks that a machine on which a cancelled task does not stop
@@ -206,6 +207,27 @@
 	}
 }
 
+// TestCancellationPeriodRestartsOnlyIfOver checks a leader that reads the record of a cancelled job about
+// cancel_s after the cancellation, as well as the clocks allow to tell. While the period may not be over, an
+// earlier leader may have confirmed the cancellation, and the lease of a machine with a task must not be renewed.
+func TestCancellationPeriodRestartsOnlyIfOver(t *testing.T) {
+	const lease, cancelWithin, clockError = 14 * time.Second, 34 * time.Second, time.Second
+	for _, age := range []time.Duration{cancelWithin - clockError, cancelWithin, cancelWithin + clockError} {
+		f := newSchedulerFixtureWithTimes(t, 1, lease, cancelWithin)
+		f.submitJob("job-1", "red", "standard", 1, 8, 0)
+		f.version++
+		f.step(JobChanged{
+			JobID: "job-1", Version: 100 + f.version,
+			Record:            storage.OpenJob{Cancelled: true, Spec: f.scheduler.jobs.find("job-1").spec},
+			SinceCancellation: age + clockError, MinSinceCancellation: age - clockError,
+		})
+		reply := f.sendUnfenced(f.heartbeat(f.machine(0), runningTask("job-1/0")))
+		if isOver := age-clockError >= cancelWithin; reply.Accepted != isOver {
+			t.Errorf("cancelled about %v ago: heartbeat accepted %v, want %v", age, reply.Accepted, isOver)
+		}
+	}
+}
+
 // runningTask returns the status of a running task that an earlier term has started.
 func runningTask(task string) protocol.TaskStatus {
 	return protocol.TaskStatus{Task: task, Attempt: 1, State: protocol.TaskRunning}
--- a/internal/coordination/scheduler/events.go
+++ b/internal/coordination/scheduler/events.go
@@ -20,9 +20,10 @@
 	Version         uint64 // of the record
 	Record          storage.OpenJob
 	SinceSubmission time.Duration
-	// SinceCancellation is an upper bound on the time since the cancellation was confirmed to the user;
-	// 0 if the job is not cancelled.
-	SinceCancellation time.Duration
+	// SinceCancellation and MinSinceCancellation are the upper and the lower bound on the time since the job
+	// was cancelled, and thus on the time since the user may have been notified; 0 if the job is not cancelled.
+	SinceCancellation    time.Duration
+	MinSinceCancellation time.Duration
 }
 
 // JobRemoved reports that the open record of a job was removed. The leader sends it for each removal
--- a/internal/coordination/scheduler/job_lifecycle.go
+++ b/internal/coordination/scheduler/job_lifecycle.go
@@ -23,11 +23,12 @@
 	j.version = e.Version
 	if e.Record.Cancelled && !j.cancelled {
 		// The period within which the tasks must end (CancelWithinS) starts when the user may first have
-		// been notified of the cancellation, even if that was before a failover. If the period is already
-		// over, no earlier leader has observed the cancellation, as it would have let the worker leases
-		// expire in time. The user cannot have been notified in that case, so the period starts now.
+		// been notified of the cancellation, even if that was before a failover. If the period is certainly
+		// over, either no task of the job is left, or no earlier leader has observed the cancellation, as it
+		// would have let the worker leases expire in time. The user cannot have been notified in the second
+		// case, so the period starts now.
 		j.cancelled, j.cancelledAt, j.cancelObservedAt = true, s.now, s.now
-		if e.SinceCancellation < limits.Seconds(s.cfg.Workers.CancelWithinS) {
+		if e.MinSinceCancellation < limits.Seconds(s.cfg.Workers.CancelWithinS) {
 			j.cancelledAt -= e.SinceCancellation
 		}
 		s.logInfo("job cancelled", keyJob, j.id, "assigned_tasks", len(j.assignments))
--- a/internal/coordination/scheduler/scheduler_fixture_test.go
+++ b/internal/coordination/scheduler/scheduler_fixture_test.go
@@ -123,7 +123,8 @@
 	}
 	f.version++
 	f.step(JobChanged{
-		JobID: id, Version: 100 + f.version, SinceCancellation: sinceCancellation,
+		JobID: id, Version: 100 + f.version,
+		SinceCancellation: sinceCancellation, MinSinceCancellation: sinceCancellation,
 		Record: storage.OpenJob{Cancelled: true, Spec: j.spec},
 	})
 }
--- a/internal/coordination/scheduler/simulation_controller_test.go
+++ b/internal/coordination/scheduler/simulation_controller_test.go
@@ -94,6 +94,7 @@
 	event := JobChanged{JobID: id, Version: s.records[key].version, Record: job}
 	if job.Cancelled {
 		event.SinceCancellation = s.now - time.Duration(job.CancelledAtMs)*time.Millisecond
+		event.MinSinceCancellation = event.SinceCancellation
 	}
 	s.step(controller, event)
 }
