Hold no lock while gnet may call back

One hundred connections with GET /nothing, each reset right after the request, block a controller at the first try.

Cause: the server held its mutex while it handled an event. A write to a connection that was reset closes it, and gnet calls OnClose before the write returns, on the same goroutine. OnClose locks the mutex: the event loop waits for itself. The invariant that was lost: no lock of ours is held across a call into gnet.

Change: the event loop alone owns its connections, which need no lock then. The search for idle connections ran in the goroutine of gnet's ticker; it is passed to the event loop. Counts are atomic. The package comment says which goroutine owns which state.

--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -21,23 +21,31 @@
 	responded   bool // guarded by conn.mu
 }
 
-// serverConn is the state of an inbound connection. It is guarded by the server's mutex, except
-// lastStatus and the fields below mu: these are guarded by mu, as responses may come from any goroutine.
+// serverConn is the state of an inbound connection. The goroutine that reads the connection owns it: the event
+// loop, or the one in ServeConn. The fields below mu are guarded by mu, as responses may come from any
+// goroutine.
 type serverConn struct {
 	decoder           *Decoder
-	lastStatus        int  // status of the last response, or 0 before the first
 	requestInProgress bool // a request was passed to the handler and its response is not taken yet
 	lastActive        time.Time
 	closing           bool // no more requests are read; the event loop closes the connection
 	discardingInput   bool // a request was rejected as too large; what still arrives is discarded
 	fromMachine       bool // counted in Server.machineConns
 
-	mu                 sync.Mutex
+	mu                 sync.Mutex // not held while a method of gnet is called
+	lastStatus         int        // status of the last response, or 0 before the first
 	response           []byte
 	responseReady      bool
 	closeAfterResponse bool // close the connection once the response is written
 }
 
+// setCloseAfterResponse sets whether the connection is to be closed after the response to a new request.
+func (c *serverConn) setCloseAfterResponse(closeAfterResponse bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closeAfterResponse = closeAfterResponse
+}
+
 // rejectMalformed returns the response to a request that cannot be decoded. A request that is too large
 // gets status 400 as well: users would retry after any other status, although a retry cannot succeed.
 func (c *serverConn) rejectMalformed(err error) ([]byte, gnet.Action) {
@@ -90,12 +98,13 @@
 	if r.conn.fromMachine {
 		return true
 	}
-	if r.server.options.MaxMachineConns > 0 && r.server.machineConns >= r.server.options.MaxMachineConns {
+	limit := int64(r.server.options.MaxMachineConns)
+	if n := r.server.machineConns.Add(1); limit > 0 && n > limit {
+		r.server.machineConns.Add(-1)
 		r.CloseAfterResponse()
 		return false
 	}
 	r.conn.fromMachine = true
-	r.server.machineConns++
 	return true
 }
 
--- a/internal/transport/events.go
+++ b/internal/transport/events.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -11,12 +12,22 @@
 	"quillshunt/internal/limits"
 )
 
-// eventHandler handles gnet's events for a server. OnTick and the events of connections lock the server's
-// mutex, as gnet calls OnTick in a goroutine of its own.
+// eventHandler handles gnet's events for one run of a server's event loop. See the package comment for the
+// goroutines that own its fields.
 type eventHandler struct {
 	gnet.BuiltinEventEngine
 	server *Server
 	ctx    context.Context
+
+	conns map[gnet.Conn]*serverConn // owned by the event loop
+
+	loop         atomic.Pointer[gnet.EventLoop] // nil until the first connection is opened
+	sweepPending atomic.Bool                    // the event loop was asked to close idle connections
+}
+
+// newEventHandler returns the handler for one run of the event loop, which ends when ctx is done.
+func newEventHandler(ctx context.Context, server *Server) *eventHandler {
+	return &eventHandler{server: server, ctx: ctx, conns: map[gnet.Conn]*serverConn{}}
 }
 
 // OnBoot makes the event loop stop once the context is done.
@@ -27,29 +38,26 @@
 
 // OnOpen registers a new connection, or closes it if MaxConns are open or the socket budget is exhausted.
 func (e *eventHandler) OnOpen(conn gnet.Conn) ([]byte, gnet.Action) {
-	s := e.server
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.conns) >= s.options.MaxConns || !s.options.Sockets.acquireInbound() {
+	if e.loop.Load() == nil {
+		loop := conn.EventLoop()
+		e.loop.Store(&loop)
+	}
+	options := &e.server.options
+	if len(e.conns) >= options.MaxConns || !options.Sockets.acquireInbound() {
 		return nil, gnet.Close
 	}
 	c := &serverConn{decoder: NewRequestDecoder(limits.MaxBodyBytes), lastActive: time.Now()}
 	conn.SetContext(c)
-	s.conns[conn] = c
+	e.conns[conn] = c
 	return nil, gnet.None
 }
 
-// OnClose removes a closed connection and releases its socket in the budget.
+// OnClose removes a closed connection and releases its socket in the budget. gnet calls it on the event loop,
+// also from within a write that fails.
 func (e *eventHandler) OnClose(conn gnet.Conn, _ error) gnet.Action {
-	s := e.server
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if c := s.conns[conn]; c != nil {
-		delete(s.conns, conn)
-		s.options.Sockets.releaseInbound()
-		if c.fromMachine {
-			s.machineConns--
-		}
+	if c := e.conns[conn]; c != nil {
+		delete(e.conns, conn)
+		e.server.release(c)
 	}
 	return gnet.None
 }
@@ -57,8 +65,6 @@
 // OnTraffic handles bytes that have arrived. It also runs after a wake-up of the connection, and then
 // writes the response that is ready or closes the connection.
 func (e *eventHandler) OnTraffic(conn gnet.Conn) gnet.Action {
-	e.server.mu.Lock()
-	defer e.server.mu.Unlock()
 	c, ok := conn.Context().(*serverConn)
 	if !ok || c.closing {
 		return gnet.Close
@@ -75,21 +81,48 @@
 	if len(out) == 0 {
 		return action
 	}
-	// gnet buffers what the socket does not take at once and writes it later.
+	// gnet buffers what the socket does not take at once and writes it later. If the write fails, gnet has
+	// closed the connection and called OnClose when Write returns.
 	if _, err := conn.Write(out); err != nil {
 		return gnet.Close
 	}
 	return action
 }
 
-// OnTick closes connections that have timed out.
+// OnTick makes the event loop close the connections that have timed out. gnet calls it in the ticker's
+// goroutine.
 func (e *eventHandler) OnTick() (time.Duration, gnet.Action) {
-	e.server.mu.Lock()
-	defer e.server.mu.Unlock()
-	e.server.closeTimedOutConns()
+	loop := e.loop.Load()
+	if loop != nil && e.sweepPending.CompareAndSwap(false, true) {
+		_ = (*loop).Execute(e.ctx, gnet.RunnableFunc(func(context.Context) error {
+			e.closeTimedOutConns(*loop)
+			e.sweepPending.Store(false)
+			return nil
+		}))
+	}
 	return limits.ConnSweepInterval, gnet.None
 }
 
+// closeTimedOutConns closes connections that have been idle too long, and those on which a request takes
+// too long to arrive. It runs on the event loop.
+func (e *eventHandler) closeTimedOutConns(loop gnet.EventLoop) {
+	now := time.Now()
+	for conn, c := range e.conns {
+		if now.Sub(c.lastActive) > e.server.idleLimit(c) {
+			_ = loop.Close(conn)
+		}
+	}
+}
+
+// releaseConns releases the sockets of the connections that are still registered after the event loop has
+// ended.
+func (e *eventHandler) releaseConns() {
+	for conn, c := range e.conns {
+		delete(e.conns, conn)
+		e.server.release(c)
+	}
+}
+
 // gnetLogger writes gnet's log lines to the server's log. gnet's informational lines become debug lines,
 // and its errors warnings.
 type gnetLogger struct{ logger *slog.Logger }
--- a/internal/transport/message.go
+++ b/internal/transport/message.go
@@ -1,6 +1,22 @@
 // Package transport implements HTTP/1.1 for the other packages: a codec, a server for inbound
 // connections that is built on gnet, and a client that pools outbound connections. It does not interpret
 // paths or bodies.
+//
+// # Goroutines and locks of the server
+//
+// A server has one event loop. gnet calls OnOpen, OnTraffic and OnClose on its goroutine, and OnClose also
+// from within calls of ours into gnet: a write to a connection that was reset closes it before it returns.
+// Therefore no lock is held while a method of gnet is called, and most state needs none:
+//
+//   - The event loop alone owns the connections of eventHandler and the fields of each serverConn that are not
+//     below its mu. The handler of requests runs there too. OnTick runs in a goroutine of gnet's ticker and
+//     touches no connection: it passes the search for idle connections to the event loop.
+//   - serverConn.mu guards what a response, which may come from any goroutine, hands over to the event loop. It
+//     is released before the event loop is woken up.
+//   - Counts that other goroutines read are atomic.
+//
+// The client has no lock. An idle connection is owned by the channel that it waits in, any other one by the
+// caller of Do.
 package transport
 
 import "errors"
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -37,12 +38,13 @@
 // The server handles one request of a connection at a time. If the client sends the next request before
 // the last response is written to the socket, the connection is closed. A client that reads slowly thus
 // takes up the memory of one response at most.
+//
+// A server is used either with Run or with ServeConn.
 type Server struct {
-	options ServerOptions
+	options      ServerOptions
+	machineConns atomic.Int64 // open connections from machines
 
-	mu           sync.Mutex // held while an event or a request is handled; guards the fields below
-	conns        map[gnet.Conn]*serverConn
-	machineConns int // connections from machines, among conns and those of ServeConn
+	handlerMu sync.Mutex // held by ServeConn while the handler runs; Run has one goroutine for it
 }
 
 // NewServer returns a server; Run makes it listen.
@@ -57,10 +59,8 @@
 	defer conn.Close()
 	c := &serverConn{decoder: NewRequestDecoder(limits.MaxBodyBytes)}
 	defer func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
 		if c.fromMachine {
-			s.machineConns--
+			s.machineConns.Add(-1)
 		}
 	}()
 	buf := make([]byte, limits.ReadBufferBytes)
@@ -90,10 +90,10 @@
 func (s *Server) handleAndAwaitResponse(c *serverConn, req *Message) (response []byte, closing bool) {
 	responded := make(chan struct{})
 	r := &Responder{conn: c, wake: func() { close(responded) }, server: s}
-	s.mu.Lock()
-	c.closeAfterResponse = req.Close
+	c.setCloseAfterResponse(req.Close)
+	s.handlerMu.Lock()
 	s.options.Handle(req, r)
-	s.mu.Unlock()
+	s.handlerMu.Unlock()
 	<-responded
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -135,22 +135,21 @@
 	if err := s.checkAddressFree(ctx); err != nil {
 		return err
 	}
-	s.resetConns()
+	handler := newEventHandler(ctx, s)
+	defer handler.releaseConns()
 	// WithReusePort gives the event loop its own listener, on which it accepts connections itself. Without
 	// it, gnet accepts connections in a second loop, which wakes the event loop for each.
-	return gnet.Run(&eventHandler{server: s, ctx: ctx}, "tcp://"+s.options.Addr,
+	return gnet.Run(handler, "tcp://"+s.options.Addr,
 		gnet.WithNumEventLoop(1), gnet.WithReusePort(true), gnet.WithReuseAddr(true), gnet.WithTicker(true),
 		gnet.WithReadBufferCap(limits.ReadBufferBytes), gnet.WithLogger(gnetLogger{s.options.Log}))
 }
 
-// resetConns discards the records of the connections of an event loop that has ended.
-func (s *Server) resetConns() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for range s.conns {
-		s.options.Sockets.releaseInbound()
+// release releases the socket of a connection of the event loop that is closed.
+func (s *Server) release(c *serverConn) {
+	s.options.Sockets.releaseInbound()
+	if c.fromMachine {
+		s.machineConns.Add(-1)
 	}
-	s.conns, s.machineConns = make(map[gnet.Conn]*serverConn), 0
 }
 
 // checkAddressFree returns an error if another process listens on the address. The event loop would not
@@ -164,28 +163,20 @@
 	return listener.Close()
 }
 
-// closeTimedOutConns closes connections that have been idle too long, and those on which a request takes
-// too long to arrive. The caller holds mu.
-func (s *Server) closeTimedOutConns() {
-	now := time.Now()
-	for conn, c := range s.conns {
-		limit := limits.ConnIdleTimeout
-		if c.fromMachine && s.options.MachineIdleTimeout > 0 {
-			limit = min(limit, s.options.MachineIdleTimeout)
-		}
-		if c.discardingInput || (!c.requestInProgress && c.decoder.HasPartialMessage()) {
-			limit = limits.RequestReadTimeout
-		}
-		if now.Sub(c.lastActive) > limit {
-			c.closing = true
-			_ = conn.Wake(nil)
-		}
+// idleLimit returns how long a connection may go on as it is: without a request, or with an incomplete one.
+func (s *Server) idleLimit(c *serverConn) time.Duration {
+	if c.discardingInput || (!c.requestInProgress && c.decoder.HasPartialMessage()) {
+		return limits.RequestReadTimeout
 	}
+	if c.fromMachine && s.options.MachineIdleTimeout > 0 {
+		return min(limits.ConnIdleTimeout, s.options.MachineIdleTimeout)
+	}
+	return limits.ConnIdleTimeout
 }
 
 // handleBytes passes newly arrived bytes to the decoder and the next complete request, if no other is in
 // progress, to the handler. It returns the response to the current request if it is ready. in is empty
-// after a wake-up of the connection. It runs on the event loop, and the caller holds mu.
+// after a wake-up of the connection. It runs on the event loop.
 func (s *Server) handleBytes(conn gnet.Conn, c *serverConn, in []byte) ([]byte, gnet.Action) {
 	if c.discardingInput {
 		return nil, gnet.None
@@ -216,9 +207,7 @@
 func (s *Server) handle(conn gnet.Conn, c *serverConn, req *Message) {
 	c.requestInProgress = true
 	r := &Responder{conn: c, wake: func() { _ = conn.Wake(nil) }, server: s, onEventLoop: true}
-	c.mu.Lock()
-	c.closeAfterResponse = req.Close
-	c.mu.Unlock()
+	c.setCloseAfterResponse(req.Close)
 	s.options.Handle(req, r)
 	c.mu.Lock()
 	r.onEventLoop = false
