Report an event loop that stands still, and hand over the lead

Cause: when a controller's event loop waited for itself, whoever was on call could see nothing: the process was there, led, renewed its lease and got votes.

If the event loop has not run between four ticks of 2 s in a row, an ERROR line has the stacks of all goroutines, the status command says "no client answered for", and a leader hands over to a controller that reaches the state service and answers its clients; the call Able says both. Ticks are counted, as a process that was stopped has none. The status message has one new field, which earlier versions ignore.

TestWatchdogCountsTicks and TestStalledLoopIsReported pass: the latter holds up a real event loop until it is reported.

--- a/cmd/quillshunt/commands_test.go
+++ b/cmd/quillshunt/commands_test.go
@@ -97,6 +97,13 @@
 				"m-2      c4    b     ordinary  4     0     0      booting\n",
 		},
 		{name: "explanation of one job", status: status, job: "job-1", output: leader + "\njob-1\n  no free machine\n"},
+		{
+			name: "stalled", job: "job-1", status: &peerpb.StatusReply{
+				Leader: "controller-0", Term: 7, Entitled: true, Recovered: true, ClientStallS: 8,
+			},
+			output: "leader                  controller-0\nterm                    7\nentitled                true\n" +
+				"rebuilt                 true\nno client answered for  8 s\n\njob-1\n",
+		},
 		{name: "no leader", status: &peerpb.StatusReply{}, err: "no leader is known"},
 		{
 			name: "leader unreachable", status: &peerpb.StatusReply{Leader: "controller-1"},
--- a/cmd/quillshunt/status.go
+++ b/cmd/quillshunt/status.go
@@ -56,6 +56,9 @@
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(w, "leader\t%s\nterm\t%d\n", status.GetLeader(), status.GetTerm())
 	fmt.Fprintf(w, "entitled\t%v\nrebuilt\t%v\n", status.GetEntitled(), status.GetRecovered())
+	if stall := status.GetClientStallS(); stall > 0 {
+		fmt.Fprintf(w, "no client answered for\t%.0f s\n", stall)
+	}
 	if job != "" {
 		printExplanation(w, job, status.GetExplanation())
 	} else {
--- a/internal/coordination/controller/controller.go
+++ b/internal/coordination/controller/controller.go
@@ -57,21 +57,22 @@
 		Dialer:   dialer,
 		Log:      log,
 	})
-	elector := election.New(election.Options{
-		Node:          s.NodeName,
-		Store:         store,
-		Peers:         peers,
-		LeaseDuration: time.Duration(options.Leadership.LeaderLease),
-		VoteLease:     limits.VoteLease(limits.Seconds(s.Deployment.Workers.LeaseS)),
-		RunTerm:       dispatcher.RunTerm,
-		Log:           log,
+	c := &Controller{settings: s, log: log, store: store, peers: peers, dispatcher: dispatcher}
+	c.elector = election.New(election.Options{
+		Node:           s.NodeName,
+		Store:          store,
+		Peers:          peers,
+		LeaseDuration:  time.Duration(options.Leadership.LeaderLease),
+		VoteLease:      limits.VoteLease(limits.Seconds(s.Deployment.Workers.LeaseS)),
+		RunTerm:        dispatcher.RunTerm,
+		ClientsStalled: func() bool { return c.clientServer.LoopStalledFor() > 0 },
+		Log:            log,
 	})
-	dispatcher.OnTermLost(elector.ReportTermLost)
+	dispatcher.OnTermLost(c.elector.ReportTermLost)
 
-	c := &Controller{settings: s, log: log, store: store, peers: peers, dispatcher: dispatcher, elector: elector}
 	c.gateway = c.newGateway(shares)
 	c.clientServer = c.newClientServer(shares, sockets)
-	c.peerServer = peer.NewServer(dispatcher, elector, peers)
+	c.peerServer = peer.NewServer(dispatcher, c.elector, peers, c.clientServer.LoopStalledFor)
 	return c, nil
 }
 
--- a/internal/coordination/election/election.go
+++ b/internal/coordination/election/election.go
@@ -23,8 +23,9 @@
 //     majority has withdrawn, a follower campaigns under the condition that the leader key and the
 //     heartbeat record are unchanged. At that time no vote of the majority is valid any more. If the
 //     leader writes a heartbeat record before the campaign is applied, the campaign fails.
-//   - Handover. If only the leader cannot reach the state service, it resigns and offers the
-//     leadership to a controller that can. That controller replaces the leader key at once.
+//   - Handover. If only the leader cannot reach the state service, or answers no requests of workers and
+//     users any more, it resigns and offers the leadership to a controller that does both. That
+//     controller replaces the leader key at once.
 //
 // A restarted process does not know which votes the previous process on its node granted or
 // withdrew. It therefore waits for the longest possible vote to expire before it withdraws its own.
@@ -81,6 +82,10 @@
 	RunTerm       func(ctx context.Context, l *Leadership) // runs a term; must return soon after ctx ends
 	Log           *slog.Logger
 
+	// ClientsStalled reports whether this process answers no requests of users and workers any more,
+	// although it runs. If nil, it always answers them.
+	ClientsStalled func() bool
+
 	// SchedulingDelay measures how late this process runs because its CPU is busy. If nil,
 	// measureSchedulingDelay is used.
 	SchedulingDelay func(ctx context.Context) time.Duration
@@ -101,6 +106,9 @@
 	if options.SchedulingDelay == nil {
 		options.SchedulingDelay = measureSchedulingDelay
 	}
+	if options.ClientsStalled == nil {
+		options.ClientsStalled = func() bool { return false }
+	}
 	return &Elector{
 		options:   options,
 		voter:     voter{voteLease: options.VoteLease, nonce: newNonce(), startedAt: time.Now()},
@@ -122,9 +130,12 @@
 
 func (e *Elector) setLeader(name string) { e.leader.Store(&name) }
 
-// CanReachStateService reports whether this process can reach the state service now. It reads one key and
-// blocks until the read completes or times out.
+// CanReachStateService reports whether this process can reach the state service now, and answers requests of
+// clients, so that it could lead. It reads one key and blocks until the read completes or times out.
 func (e *Elector) CanReachStateService(ctx context.Context) bool {
+	if e.options.ClientsStalled() {
+		return false
+	}
 	_, err := e.options.Store.Get(ctx, storage.KeyLeader)
 	return err == nil
 }
--- a/internal/coordination/election/handover.go
+++ b/internal/coordination/election/handover.go
@@ -41,18 +41,21 @@
 	return time.Since(start) - limits.SchedulingDelaySample
 }
 
-// handOver resigns if another controller can reach the state service, and reports whether it
-// resigned. It must stop being entitled, irrevocably, before the successor receives the offer. If
-// all offers are lost, another controller campaigns once the leader lease has expired or a majority
-// has withdrawn its votes.
-func (e *Elector) handOver(ctx context.Context, l *Leadership) bool {
+// handOver resigns for the given reason if another controller can reach the state service and answers
+// requests of clients, and reports whether it resigned. It must stop being entitled, irrevocably, before
+// the successor receives the offer. If all offers are lost, another controller campaigns once the leader
+// lease has expired or a majority has withdrawn its votes.
+func (e *Elector) handOver(ctx context.Context, l *Leadership, reason string) bool {
+	if e.options.Peers == nil {
+		return false
+	}
 	successor := e.options.Peers.FindConnected(ctx)
 	if successor == "" {
 		return false // probably an outage for all controllers: the term continues while the leader lease is valid
 	}
 	l.resigned.Store(true)
 	e.options.Log.Warn("handing over the leadership", "term", l.Term, "successor", successor,
-		"reason", "only other controllers reach the state service")
+		"reason", reason)
 	for range limits.HandoverAttempts {
 		err := e.options.Peers.OfferLeadership(ctx, successor, l.Term, l.KeyVersion)
 		if err == nil {
--- a/internal/coordination/election/handover_test.go
+++ b/internal/coordination/election/handover_test.go
@@ -67,6 +67,38 @@
 	}
 }
 
+// TestStalledLeaderHandsOver checks that a leader that answers no requests of clients any more hands over to a
+// controller that does, long before the leader lease expires, and keeps the leadership if there is none.
+func TestStalledLeaderHandsOver(t *testing.T) {
+	for name, allStalled := range map[string]bool{"leader alone": false, "all controllers": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(3, 9)
+				defer c.crash()
+				c.start()
+				time.Sleep(5 * time.Second)
+				stalled := c.leader()
+				if stalled == nil {
+					t.Fatal("no leader was elected")
+				}
+				term := stalled.entitledLeadership().Term
+				for _, n := range c.nodes {
+					n.setStalled(n == stalled || allStalled)
+				}
+				k := &invariantChecker{t: t, cluster: c, leaderships: map[uint64]*Leadership{}}
+				k.runFor(limits.LeaderLease / 2)
+				leader := c.leader()
+				if leader == nil || (leader == stalled) != allStalled {
+					t.Fatalf("leader is %v, want the stalled one: %v", leader, allStalled)
+				}
+				if kept := leader.entitledLeadership().Term == term; kept != allStalled {
+					t.Errorf("term kept: %v, want %v", kept, allStalled)
+				}
+			})
+		})
+	}
+}
+
 // successorPeers simulates other controllers, one of which can reach the state service. It calls
 // onOffer for each offer of the leadership.
 type successorPeers struct {
@@ -97,7 +129,7 @@
 		}
 	}}
 	e := New(Options{Node: "controller-0", Peers: peers, Log: slog.New(slog.DiscardHandler)})
-	if !e.handOver(context.Background(), l) || offers != 1 {
+	if !e.handOver(context.Background(), l, "test") || offers != 1 {
 		t.Errorf("handOver returned false, or offered the leadership %d times, want once", offers)
 	}
 }
--- a/internal/coordination/election/lead.go
+++ b/internal/coordination/election/lead.go
@@ -56,11 +56,15 @@
 			switch {
 			case err == nil:
 				renewedAt = time.Now()
+				if e.options.ClientsStalled() && e.handOver(ctx, l, "no request of a worker or user is answered") {
+					return
+				}
 			case errors.Is(err, storage.ErrLeaseExpired):
 				return
 			default:
 				e.options.Log.Debug("failed to renew the leader lease", "term", l.Term, "err", err)
-				if e.mayBeIsolated(ctx, time.Since(renewedAt), err) && e.handOver(ctx, l) {
+				if e.mayBeIsolated(ctx, time.Since(renewedAt), err) &&
+					e.handOver(ctx, l, "only other controllers reach the state service") {
 					return
 				}
 			}
--- a/internal/coordination/election/node_test.go
+++ b/internal/coordination/election/node_test.go
@@ -116,6 +116,7 @@
 	elector       *Elector    // nil after a crash
 	leadership    *Leadership // nil while this node does not lead
 	busy          bool        // the process reports a scheduling delay
+	stalled       bool        // the process answers no requests of clients
 	isolatedUntil time.Time   // until then, calls to and from other nodes fail
 }
 
@@ -129,6 +130,7 @@
 		LeaseDuration:   n.leaseDuration,
 		VoteLease:       n.voteLease,
 		SchedulingDelay: n.schedulingDelay,
+		ClientsStalled:  n.isStalled,
 		RunTerm:         n.runTerm,
 		Log:             slog.New(slog.DiscardHandler),
 	}
@@ -195,6 +197,18 @@
 	return measureSchedulingDelay(ctx)
 }
 
+func (n *node) isStalled() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.stalled
+}
+
+func (n *node) setStalled(stalled bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stalled = stalled
+}
+
 func (n *node) setBusy() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/coordination/peer/server.go
+++ b/internal/coordination/peer/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"time"
 
 	"google.golang.org/grpc"
 
@@ -53,17 +54,25 @@
 	peers         *Peers
 	leaderHandler LeaderHandler
 	elector       Elector
+	clientStall   func() time.Duration
 	grpc          *grpc.Server
 }
 
 // NewServer returns a Server for this process. The Server uses peers to forward confirmation and status
-// requests to the leader if this process does not lead.
-func NewServer(leader LeaderHandler, elector Elector, peers *Peers) *Server {
-	s := &Server{peers: peers, leaderHandler: leader, elector: elector, grpc: grpc.NewServer(
-		grpc.MaxRecvMsgSize(limits.MaxBodyBytes),
-		grpc.MaxConcurrentStreams(limits.MaxPeerStreams),
-		grpc.NumStreamWorkers(0),
-	)}
+// requests to the leader if this process does not lead. clientStall returns for how long this process has
+// answered no requests of users and workers, or 0 if it answers them.
+func NewServer(leader LeaderHandler, elector Elector, peers *Peers, clientStall func() time.Duration) *Server {
+	s := &Server{
+		peers:         peers,
+		leaderHandler: leader,
+		elector:       elector,
+		clientStall:   clientStall,
+		grpc: grpc.NewServer(
+			grpc.MaxRecvMsgSize(limits.MaxBodyBytes),
+			grpc.MaxConcurrentStreams(limits.MaxPeerStreams),
+			grpc.NumStreamWorkers(0),
+		),
+	}
 	peerpb.RegisterPeerServer(s.grpc, s)
 	peerpb.RegisterOperatorServer(s.grpc, s)
 	return s
@@ -102,8 +111,9 @@
 	return &peerpb.RelayHeartbeatReply{Status: int32(status), Body: body}, nil
 }
 
-// Able returns whether this process can reach the state service. Other controllers ask when they cannot
-// reach it themselves: a leader to find a successor, any controller for its health check.
+// Able returns whether this process can reach the state service and answers requests of clients. Other
+// controllers ask when they cannot reach the state service themselves: a leader to find a successor, any
+// controller for its health check. A leader that does not answer its clients asks, too.
 func (s *Server) Able(ctx context.Context, _ *peerpb.ConnectivityRequest) (*peerpb.ConnectivityReply, error) {
 	return &peerpb.ConnectivityReply{Connected: s.elector.CanReachStateService(ctx)}, nil
 }
@@ -141,6 +151,7 @@
 // is 0 if the leader does not reply.
 func (s *Server) Status(ctx context.Context, r *peerpb.StatusRequest) (*peerpb.StatusReply, error) {
 	if reply, ok := s.leaderHandler.Status(ctx, r.GetJob()); ok {
+		reply.ClientStallS = s.clientStall().Seconds()
 		return reply, nil
 	}
 	leader := s.elector.Leader()
--- a/internal/coordination/peer/wire_test.go
+++ b/internal/coordination/peer/wire_test.go
@@ -52,6 +52,7 @@
 	"StatusReply 5 repeated Machine",
 	"StatusReply 6 repeated Team",
 	"StatusReply 7 repeated string",
+	"StatusReply 8 optional double",
 	"Machine 1 optional string",
 	"Machine 2 optional string",
 	"Machine 3 optional string",
--- a/internal/limits/connections.go
+++ b/internal/limits/connections.go
@@ -14,6 +14,11 @@
 	RequestReadTimeout = 10 * time.Second
 	// ConnSweepInterval is the time between two checks of all connections for these two timeouts.
 	ConnSweepInterval = 2 * time.Second
+	// LoopStalledTicks is the number of checks in a row, ConnSweepInterval apart, after which an event loop
+	// that has not run in between counts as stalled. A busy loop runs several times a second.
+	LoopStalledTicks = 4
+	// MaxStackDumpBytes is the largest size of the goroutines' stacks in a log line, in bytes.
+	MaxStackDumpBytes = 256 << 10
 	// MaxServerLoopFailures is how many times in a row a server restarts an event loop that ended shortly
 	// after its start. After one more such failure, the server returns an error.
 	MaxServerLoopFailures = 20
--- a/internal/transport/events.go
+++ b/internal/transport/events.go
@@ -21,13 +21,18 @@
 
 	conns map[gnet.Conn]*serverConn // owned by the event loop
 
-	loop         atomic.Pointer[gnet.EventLoop] // nil until the first connection is opened
-	sweepPending atomic.Bool                    // the event loop was asked to close idle connections
+	loop     atomic.Pointer[gnet.EventLoop] // nil until the first connection is opened
+	watchdog *loopWatchdog                  // owned by the ticker's goroutine
 }
 
 // newEventHandler returns the handler for one run of the event loop, which ends when ctx is done.
 func newEventHandler(ctx context.Context, server *Server) *eventHandler {
-	return &eventHandler{server: server, ctx: ctx, conns: map[gnet.Conn]*serverConn{}}
+	return &eventHandler{
+		server:   server,
+		ctx:      ctx,
+		conns:    map[gnet.Conn]*serverConn{},
+		watchdog: &loopWatchdog{log: server.options.Log, addr: server.options.Addr, stalled: &server.loopStalled},
+	}
 }
 
 // OnBoot makes the event loop stop once the context is done.
@@ -89,14 +94,14 @@
 	return action
 }
 
-// OnTick makes the event loop close the connections that have timed out. gnet calls it in the ticker's
-// goroutine.
+// OnTick makes the event loop close the connections that have timed out, and checks that the loop has done
+// so since the tick before. gnet calls it in the ticker's goroutine.
 func (e *eventHandler) OnTick() (time.Duration, gnet.Action) {
 	loop := e.loop.Load()
-	if loop != nil && e.sweepPending.CompareAndSwap(false, true) {
+	if loop != nil && e.watchdog.beginTurn() {
 		_ = (*loop).Execute(e.ctx, gnet.RunnableFunc(func(context.Context) error {
 			e.closeTimedOutConns(*loop)
-			e.sweepPending.Store(false)
+			e.watchdog.endTurn()
 			return nil
 		}))
 	}
--- a/internal/transport/reset_test.go
+++ b/internal/transport/reset_test.go
@@ -1,14 +1,18 @@
 package transport
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -246,6 +250,58 @@
 	f.awaitNoConns()
 }
 
+// TestWatchdogCountsTicks checks when an event loop counts as stalled: after LoopStalledTicks ticks in a row
+// without a turn of the loop, however much time has passed, as a process that was stopped has no ticks. The log
+// has the stacks of all goroutines once.
+func TestWatchdogCountsTicks(t *testing.T) {
+	var log bytes.Buffer
+	var stalled atomic.Int64
+	w := &loopWatchdog{log: slog.New(slog.NewTextHandler(&log, nil)), stalled: &stalled}
+	if !w.beginTurn() {
+		t.Fatal("no turn at the first tick")
+	}
+	for range limits.LoopStalledTicks - 1 {
+		if w.beginTurn() || stalled.Load() != 0 {
+			t.Fatalf("second turn, or stalled for %v, before the limit", time.Duration(stalled.Load()))
+		}
+	}
+	for ticks := limits.LoopStalledTicks; ticks < limits.LoopStalledTicks+3; ticks++ {
+		want := time.Duration(ticks) * limits.ConnSweepInterval
+		if w.beginTurn() || time.Duration(stalled.Load()) != want {
+			t.Errorf("second turn, or stalled for %v, want %v", time.Duration(stalled.Load()), want)
+		}
+	}
+	if n := strings.Count(log.String(), "TestWatchdogCountsTicks"); n != 1 {
+		t.Errorf("the log has the stack of this test %d times, want once:\n%s", n, log.String())
+	}
+	w.endTurn()
+	if !w.beginTurn() || stalled.Load() != 0 {
+		t.Errorf("no turn, or stalled for %v, after the loop has run", time.Duration(stalled.Load()))
+	}
+}
+
+// TestStalledLoopIsReported checks that a server whose event loop does not run any more says so, and takes it
+// back once the loop runs again.
+func TestStalledLoopIsReported(t *testing.T) {
+	f, _ := newFaultServer(t)
+	release := f.holdUp()
+	awaitStalled := func(want bool) {
+		t.Helper()
+		for end := time.Now().Add((limits.LoopStalledTicks + 3) * limits.ConnSweepInterval); ; {
+			if (f.LoopStalledFor() > 0) == want {
+				return
+			}
+			if time.Now().After(end) {
+				t.Fatalf("stalled for %v, want stalled: %v", f.LoopStalledFor(), want)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	awaitStalled(true)
+	release()
+	awaitStalled(false)
+}
+
 // randomStreams are byte streams of clients. TestRandomConnectionFaults cuts them at any byte.
 var randomStreams = []string{
 	"GET /healthz HTTP/1.1\r\n\r\n",
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -43,6 +43,7 @@
 type Server struct {
 	options      ServerOptions
 	machineConns atomic.Int64 // open connections from machines
+	loopStalled  atomic.Int64 // see LoopStalledFor, in nanoseconds
 
 	handlerMu sync.Mutex // held by ServeConn while the handler runs; Run has one goroutine for it
 }
@@ -152,6 +153,10 @@
 	}
 }
 
+// LoopStalledFor returns for how long the event loop has been found not to run, at the last check, or 0 if it
+// runs. No request is answered then. It may be called by any goroutine.
+func (s *Server) LoopStalledFor() time.Duration { return time.Duration(s.loopStalled.Load()) }
+
 // checkAddressFree returns an error if another process listens on the address. The event loop would not
 // fail then: with SO_REUSEPORT it would share the address with that process.
 func (s *Server) checkAddressFree(ctx context.Context) error {
