Check the entitlement after the wait for a call to the cloud

Cause: a rental or deletion checked that the leader is entitled, and then waited for the cloud's rate and for a call slot. The protocol allows a late deletion, so no rule is broken, but a machine that the successor uses is lost.

Change: callIfEntitled checks before the wait and after it.

Measured: with the second check left out TestReplacedLeaderSendsNoCloudRequest/deletion (and /rental): error <nil> after 1 requests, want errNotEntitled and no request

--- a/internal/coordination/leader/cloud_client.go
+++ b/internal/coordination/leader/cloud_client.go
@@ -56,9 +56,12 @@
 // RentMachines sends a rental request and returns the names of the rented machines. The request name
 // makes the call idempotent: a repeated request rents no further machines. An error that wraps
 // errNoCapacity or errRentalRejected means that the request was not and will not be executed. After any
-// other error it may have been executed, or may still be.
-func (c *CloudClient) RentMachines(ctx context.Context, request protocol.RentalRequest) ([]string, error) {
-	body, err := c.call(ctx, "rent machines", http.MethodPost, "/rentals", protocol.Encode(request))
+// other error it may have been executed, or may still be. The caller's entitlement is checked as in
+// callIfEntitled.
+func (c *CloudClient) RentMachines(
+	ctx context.Context, request protocol.RentalRequest, isEntitled func() bool,
+) ([]string, error) {
+	body, err := c.callIfEntitled(ctx, isEntitled, "rent machines", "/rentals", protocol.Encode(request))
 	var unexpected *statusError
 	if errors.As(err, &unexpected) {
 		switch {
@@ -78,10 +81,11 @@
 	return reply.Machines, nil
 }
 
-// DeleteMachines deletes machines, which ends their rental. The call is idempotent.
-func (c *CloudClient) DeleteMachines(ctx context.Context, machines []string) error {
+// DeleteMachines deletes machines, which ends their rental. The call is idempotent. The caller's entitlement
+// is checked as in callIfEntitled.
+func (c *CloudClient) DeleteMachines(ctx context.Context, machines []string, isEntitled func() bool) error {
 	body := protocol.Encode(protocol.DeleteRequest{Machines: machines})
-	_, err := c.call(ctx, "delete machines", http.MethodPost, "/rentals/delete", body)
+	_, err := c.callIfEntitled(ctx, isEntitled, "delete machines", "/rentals/delete", body)
 	return err
 }
 
@@ -110,19 +114,55 @@
 	}
 }
 
-// call sends one request and returns the body of the reply. It waits for the rate limiter and for a
-// free call slot first. A reply with a status other than 200 is returned as a statusError. Errors name
-// the operation, except errors of the connection, which name the method and the target.
+// call waits until a request may be sent, sends it and returns the body of the reply. See send for the
+// errors.
 func (c *CloudClient) call(ctx context.Context, operation, method, target string, body []byte) ([]byte, error) {
+	if err := c.acquireSlot(ctx, operation); err != nil {
+		return nil, err
+	}
+	defer c.releaseSlot()
+	return c.send(ctx, operation, method, target, body)
+}
+
+// callIfEntitled is call for a request that only an entitled leader may send. It checks that before the wait,
+// so that it takes no part of the rate otherwise, and after it, as the caller may have been replaced
+// meanwhile. The error then wraps errNotEntitled, and the request was not sent.
+func (c *CloudClient) callIfEntitled(
+	ctx context.Context, isEntitled func() bool, operation, target string, body []byte,
+) ([]byte, error) {
+	notEntitled := fmt.Errorf("cloud: %s: %w", operation, errNotEntitled)
+	if !isEntitled() {
+		return nil, notEntitled
+	}
+	if err := c.acquireSlot(ctx, operation); err != nil {
+		return nil, err
+	}
+	defer c.releaseSlot()
+	if !isEntitled() {
+		return nil, notEntitled
+	}
+	return c.send(ctx, operation, http.MethodPost, target, body)
+}
+
+// acquireSlot waits for the rate limiter and for a free call slot, which the caller releases.
+func (c *CloudClient) acquireSlot(ctx context.Context, operation string) error {
 	if err := c.limiter.Wait(ctx); err != nil {
-		return nil, fmt.Errorf("cloud: %s: wait for the rate limiter: %w", operation, err)
+		return fmt.Errorf("cloud: %s: wait for the rate limiter: %w", operation, err)
 	}
 	select {
 	case c.callSlots <- struct{}{}:
-		defer func() { <-c.callSlots }()
+		return nil
 	case <-ctx.Done():
-		return nil, fmt.Errorf("cloud: %s: wait for a call slot: %w", operation, ctx.Err())
+		return fmt.Errorf("cloud: %s: wait for a call slot: %w", operation, ctx.Err())
 	}
+}
+
+func (c *CloudClient) releaseSlot() { <-c.callSlots }
+
+// send sends one request and returns the body of the reply. A reply with a status other than 200 is returned
+// as a statusError. Errors name the operation, except errors of the connection, which name the method and the
+// target.
+func (c *CloudClient) send(ctx context.Context, operation, method, target string, body []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, limits.CloudTimeout)
 	defer cancel()
 	response, err := c.client.Do(ctx, method, target, body)
--- a/internal/coordination/leader/cloud_client_test.go
+++ b/internal/coordination/leader/cloud_client_test.go
@@ -7,7 +7,9 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"quillshunt/internal/limits"
 	"quillshunt/internal/protocol"
@@ -48,7 +50,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			cloud := NewCloudClient(startServer(t, alwaysRespond(c.status, c.body)), testCloudRPS, nil)
 			defer cloud.client.CloseIdleConnections()
-			machines, err := cloud.RentMachines(context.Background(), protocol.RentalRequest{Name: "r-1", Count: 1})
+			machines, err := cloud.RentMachines(context.Background(), protocol.RentalRequest{Name: "r-1", Count: 1}, always)
 			if got := errorText(err); got != c.err {
 				t.Errorf("error %q, want %q", got, c.err)
 			}
@@ -64,12 +66,52 @@
 	}
 }
 
+// always is the entitlement of a leader that is not replaced.
+func always() bool { return true }
+
+// TestReplacedLeaderSendsNoCloudRequest checks that rentals and deletions are not sent if the leader is
+// replaced while they wait for a call slot.
+func TestReplacedLeaderSendsNoCloudRequest(t *testing.T) {
+	for name, send := range map[string]func(*CloudClient, func() bool) error{
+		"deletion": func(c *CloudClient, isEntitled func() bool) error {
+			return c.DeleteMachines(context.Background(), []string{"m-1"}, isEntitled)
+		},
+		"rental": func(c *CloudClient, isEntitled func() bool) error {
+			_, err := c.RentMachines(context.Background(), protocol.RentalRequest{Name: "r-1", Count: 1}, isEntitled)
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var requests atomic.Int64
+			address := startServer(t, func(_ *transport.Message, responder *transport.Responder) {
+				requests.Add(1)
+				responder.Respond(http.StatusOK, protocol.Encode(protocol.RentalReply{}), 0)
+			})
+			cloud := NewCloudClient(address, testCloudRPS, nil)
+			defer cloud.client.CloseIdleConnections()
+			for range cap(cloud.callSlots) {
+				cloud.callSlots <- struct{}{}
+			}
+			var entitled atomic.Bool
+			entitled.Store(true)
+			done := make(chan error, 1)
+			go func() { done <- send(cloud, entitled.Load) }()
+			time.Sleep(20 * time.Millisecond) // the call waits for a slot
+			entitled.Store(false)
+			cloud.releaseSlot()
+			if err := <-done; !errors.Is(err, errNotEntitled) || requests.Load() != 0 {
+				t.Errorf("error %v after %d requests, want errNotEntitled and no request", err, requests.Load())
+			}
+		})
+	}
+}
+
 // TestRentMachinesMalformedReply checks that a reply that cannot be decoded leaves the outcome of the
 // request unknown, so that the request is repeated.
 func TestRentMachinesMalformedReply(t *testing.T) {
 	cloud := NewCloudClient(startServer(t, alwaysRespond(http.StatusOK, []int{1})), testCloudRPS, nil)
 	defer cloud.client.CloseIdleConnections()
-	_, err := cloud.RentMachines(context.Background(), protocol.RentalRequest{Name: "r-1", Count: 1})
+	_, err := cloud.RentMachines(context.Background(), protocol.RentalRequest{Name: "r-1", Count: 1}, always)
 	if err == nil || errors.Is(err, errNoCapacity) || errors.Is(err, errRentalRejected) {
 		t.Errorf("error %v, want one that leaves the outcome of the request unknown", err)
 	}
--- a/internal/coordination/leader/cloud_effects.go
+++ b/internal/coordination/leader/cloud_effects.go
@@ -26,11 +26,10 @@
 // tryRental sends a rental request once. It returns false if the request must be repeated: its outcome
 // is unknown, or it was not sent because this leader is not entitled at the moment.
 func (t *termActor) tryRental(ctx context.Context, request protocol.RentalRequest) (scheduler.RentalDone, bool) {
-	if !t.leadership.IsEntitled() {
-		return scheduler.RentalDone{}, false
-	}
-	machines, err := t.dispatcher.cloud.RentMachines(ctx, request)
+	machines, err := t.dispatcher.cloud.RentMachines(ctx, request, t.leadership.IsEntitled)
 	switch {
+	case errors.Is(err, errNotEntitled):
+		return scheduler.RentalDone{}, false
 	case err == nil:
 		return scheduler.RentalDone{Name: request.Name, Machines: machines, OK: true}, true
 	case errors.Is(err, errNoCapacity):
@@ -45,15 +44,11 @@
 
 // executeDeletion asks the cloud once to delete machines. The scheduler retries a failed deletion.
 func (t *termActor) executeDeletion(ctx context.Context, machines []string) {
-	done := scheduler.DeletionDone{Machines: machines}
-	if t.leadership.IsEntitled() {
-		err := t.dispatcher.cloud.DeleteMachines(ctx, machines)
-		if err != nil {
-			t.log.Info("deletion of machines not confirmed by the cloud", "machines", len(machines), "err", err)
-		}
-		done.Confirmed = err == nil
+	err := t.dispatcher.cloud.DeleteMachines(ctx, machines, t.leadership.IsEntitled)
+	if err != nil && !errors.Is(err, errNotEntitled) {
+		t.log.Info("deletion of machines not confirmed by the cloud", "machines", len(machines), "err", err)
 	}
-	t.sendEvent(ctx, done)
+	t.sendEvent(ctx, scheduler.DeletionDone{Machines: machines, Confirmed: err == nil})
 }
 
 // executeListMachines reads the list of rented machines from the cloud and sends it to the scheduler.
