Warn about a time limit for cancelled tasks that cannot hold

Cause: with a cancel_s that does not exceed lease_s by the margins, a machine that is cut off at the moment of a cancellation keeps its task for too long, whatever the leader does. Nothing said so.

Change: such settings are accepted as before, with a warning at the start and in quillshunt check that names both values and the cancel_s that would do. The log line of such warnings is "setting is not suitable". A property test checks that with all other settings the last accepted heartbeat leaves a lease that ends in time.

--- a/cmd/quillshunt/serve.go
+++ b/cmd/quillshunt/serve.go
@@ -23,7 +23,7 @@
 		return err
 	}
 	for _, warning := range settings.Warnings() {
-		log.Warn("settings give the controller few resources", "reason", warning)
+		log.Warn("setting is not suitable", "reason", warning)
 	}
 	log.Info("controller starting", "version", version, "listen", settings.ClientListen, "peers", len(settings.Members))
 	return c.Run(ctx)
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -36,8 +36,9 @@
 	return &s, nil
 }
 
-// Warnings returns one line for each machine limit that is high enough for a controller to start but
-// too low for the leader.
+// Warnings returns one line for each setting with which a controller starts although it cannot do all that
+// is expected of it: a machine limit that is too low for the leader, or a time limit for cancelled tasks
+// that is below the worker lease.
 func (s *Settings) Warnings() []string {
 	var lines []string
 	warnLow := func(field string, v, recommended float64) {
@@ -52,5 +53,11 @@
 	if m.CoreShare > 0 && m.CoreShare < limits.LowCoreShare {
 		warnLow("core_share", m.CoreShare, limits.LowCoreShare)
 	}
+	w := s.Deployment.Workers
+	if needed := limits.LeaseExpiredAfter(limits.Seconds(w.LeaseS)); limits.Seconds(w.CancelWithinS) < needed {
+		lines = append(lines, fmt.Sprintf(
+			"facts.workers.cancel_s: %v is too short for the lease_s of %v: on a machine that is cut off, tasks of a "+
+				"cancelled job may run for longer; a cancel_s of %.2f would do", w.CancelWithinS, w.LeaseS, needed.Seconds()))
+	}
 	return lines
 }
--- a/internal/config/load_test.go
+++ b/internal/config/load_test.go
@@ -25,13 +25,15 @@
 	}
 }
 
-// TestLowMachineLimitsWarn checks that low machine limits are accepted with a warning that names the
-// field.
-func TestLowMachineLimitsWarn(t *testing.T) {
+// TestUnsuitableSettingsWarn checks that low machine limits, and a time limit for cancelled tasks that cannot
+// hold, are accepted with a warning that names the field.
+func TestUnsuitableSettingsWarn(t *testing.T) {
 	for _, c := range []struct{ from, to, field string }{
 		{`"core_share":0.1`, `"core_share":0.1`, ""},
 		{`"core_share":0.1`, `"core_share":0.005`, "core_share"},
 		{`"memory_mb":98`, `"memory_mb":20`, "memory_mb"},
+		{`"cancel_s":34`, `"cancel_s":15`, ""},
+		{`"cancel_s":34`, `"cancel_s":14.5`, "cancel_s: 14.5 is too short for the lease_s of 14"},
 	} {
 		s, err := Parse([]byte(strings.Replace(validSettings, c.from, c.to, 1)))
 		if err != nil {
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 // TestDivideSockets checks the exact division of sockets, from the least number with which a controller
@@ -44,6 +46,28 @@
 	}
 }
 
+// TestCancelWindowKeepsTimeLimit checks for many worker leases and time limits that a task of a cancelled job
+// ends in time if the last heartbeat that is accepted was sent at the end of CancelHeartbeatWindow: the lease
+// runs from then on, on a clock that is slow by the largest drift, while the clock of the leader was slow too.
+func TestCancelWindowKeepsTimeLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		milliseconds := rapid.Int64Range(100, 600_000)
+		lease := time.Duration(milliseconds.Draw(t, "lease in ms")) * time.Millisecond
+		cancelWithin := time.Duration(milliseconds.Draw(t, "cancel_s in ms")) * time.Millisecond
+		window := CancelHeartbeatWindow(cancelWithin, lease)
+		if window == 0 {
+			if spare := cancelWithin - LeaseExpiredAfter(lease); spare > 0 {
+				t.Fatalf("no heartbeat is accepted although the lease ends %v before the limit", spare)
+			}
+			return
+		}
+		slow := func(d time.Duration) time.Duration { return time.Duration(float64(d) * (1 + ClockDriftRatio)) }
+		if end := slow(window) + slow(lease); end > cancelWithin {
+			t.Fatalf("a task ends %v after the cancellation, limit %v", end, cancelWithin)
+		}
+	})
+}
+
 // TestRetryAfterSeconds checks that the Retry-After value grows with the length of an outage of the state
 // service, between its minimum and maximum.
 func TestRetryAfterSeconds(t *testing.T) {
