--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -57,7 +57,8 @@
 	if needed := limits.LeaseExpiredAfter(limits.Seconds(w.LeaseS)); limits.Seconds(w.CancelWithinS) < needed {
 		lines = append(lines, fmt.Sprintf(
 			"facts.workers.cancel_s: %v is too short for the lease_s of %v: on a machine that is cut off, tasks of a "+
-				"cancelled job may run for longer; a cancel_s of %.2f would do", w.CancelWithinS, w.LeaseS, needed.Seconds()))
+				"cancelled job may run for longer; a cancel_s of %.2f would do",
+			w.CancelWithinS, w.LeaseS, needed.Seconds()))
 	}
 	return lines
 }
--- a/internal/coordination/leader/cloud_client_test.go
+++ b/internal/coordination/leader/cloud_client_test.go
@@ -50,7 +50,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			cloud := NewCloudClient(startServer(t, alwaysRespond(c.status, c.body)), testCloudRPS, nil)
 			defer cloud.client.CloseIdleConnections()
-			machines, err := cloud.RentMachines(context.Background(), protocol.RentalRequest{Name: "r-1", Count: 1}, always)
+			request := protocol.RentalRequest{Name: "r-1", Count: 1}
+			machines, err := cloud.RentMachines(context.Background(), request, always)
 			if got := errorText(err); got != c.err {
 				t.Errorf("error %q, want %q", got, c.err)
 			}
