Name the check of a successor by what it asks

Cause: the call Able asks for more than a connection since a leader that does not answer its clients hands over.

Change: FindConnected and CanReachStateService are FindCandidate and CanLead. The path on the wire stays.

Measured: the tests of election, peer, gateway and controller pass.

--- a/internal/coordination/election/election.go
+++ b/internal/coordination/election/election.go
@@ -64,9 +64,9 @@
 	// nodes. The result, also by node name, has no entry for a controller that does not reply in
 	// time.
 	RequestVotes(ctx context.Context, heartbeatVersion uint64, nonces map[string]uint64) map[string]Vote
-	// FindConnected returns the name of another controller that can reach the state service, or ""
+	// FindCandidate returns the name of another controller that can lead, see Elector.CanLead, or ""
 	// if there is none.
-	FindConnected(ctx context.Context) string
+	FindCandidate(ctx context.Context) string
 	// OfferLeadership notifies a controller that the leader of the given term has resigned and that
 	// the term is over. keyVersion is the version of the leader key in that term.
 	OfferLeadership(ctx context.Context, node string, term, keyVersion uint64) error
@@ -130,9 +130,9 @@
 
 func (e *Elector) setLeader(name string) { e.leader.Store(&name) }
 
-// CanReachStateService reports whether this process can reach the state service now, and answers requests of
-// clients, so that it could lead. It reads one key and blocks until the read completes or times out.
-func (e *Elector) CanReachStateService(ctx context.Context) bool {
+// CanLead reports whether this process could lead: it can reach the state service now, and answers requests
+// of clients. It reads one key and blocks until the read completes or times out.
+func (e *Elector) CanLead(ctx context.Context) bool {
 	if e.options.ClientsStalled() {
 		return false
 	}
--- a/internal/coordination/election/handover.go
+++ b/internal/coordination/election/handover.go
@@ -49,7 +49,7 @@
 	if e.options.Peers == nil {
 		return false
 	}
-	successor := e.options.Peers.FindConnected(ctx)
+	successor := e.options.Peers.FindCandidate(ctx)
 	if successor == "" {
 		return false // probably an outage for all controllers: the term continues while the leader lease is valid
 	}
--- a/internal/coordination/election/handover_test.go
+++ b/internal/coordination/election/handover_test.go
@@ -106,7 +106,7 @@
 	onOffer func()
 }
 
-func (successorPeers) FindConnected(context.Context) string { return "controller-1" }
+func (successorPeers) FindCandidate(context.Context) string { return "controller-1" }
 
 func (s successorPeers) OfferLeadership(context.Context, string, uint64, uint64) error {
 	s.onOffer()
--- a/internal/coordination/election/node_test.go
+++ b/internal/coordination/election/node_test.go
@@ -258,12 +258,12 @@
 	return votes
 }
 
-func (n *node) FindConnected(ctx context.Context) string {
+func (n *node) FindCandidate(ctx context.Context) string {
 	for _, other := range n.cluster.nodes {
 		if other == n || !n.canReach(other) || n.store.withProbability(0.2) {
 			continue
 		}
-		if other.runningElector() != nil && other.runningElector().CanReachStateService(ctx) {
+		if other.runningElector() != nil && other.runningElector().CanLead(ctx) {
 			return other.name
 		}
 	}
--- a/internal/coordination/election/voter_test.go
+++ b/internal/coordination/election/voter_test.go
@@ -18,7 +18,7 @@
 type votingPeers struct{ Peers }
 
 func (votingPeers) Size() int                            { return 4 }
-func (votingPeers) FindConnected(context.Context) string { return "" }
+func (votingPeers) FindCandidate(context.Context) string { return "" }
 func (votingPeers) RequestVotes(_ context.Context, _ uint64, nonces map[string]uint64) map[string]Vote {
 	return map[string]Vote{
 		"a": {Granted: nonces["a"] == 1, ProcessNonce: 1},
--- a/internal/coordination/gateway/health.go
+++ b/internal/coordination/gateway/health.go
@@ -29,7 +29,7 @@
 // checkIsolation asks the other controllers whether they can reach the state service, and sets isolated.
 func (g *Gateway) checkIsolation() {
 	defer g.checkingIsolation.Store(false)
-	g.isolated.Store(g.peers.FindConnected(g.ctx) != "")
+	g.isolated.Store(g.peers.FindCandidate(g.ctx) != "")
 	// While its health check fails, this controller may receive no user requests, and then no other call
 	// would show that it can reach the state service again.
 	_, _ = g.store.Get(g.ctx, storage.KeyTerm)
--- a/internal/coordination/peer/client.go
+++ b/internal/coordination/peer/client.go
@@ -105,10 +105,10 @@
 	return votes
 }
 
-// FindConnected asks all other controllers in parallel, within limits.ConnectivityTimeout, whether they
-// can reach the state service. It returns the name of the first one whose reply says that it can, or ""
-// if there is none.
-func (p *Peers) FindConnected(ctx context.Context) string {
+// FindCandidate asks all other controllers in parallel, within limits.ConnectivityTimeout, whether they can
+// reach the state service and answer requests of clients. It returns the name of the first one whose reply
+// says that it does, or "" if there is none.
+func (p *Peers) FindCandidate(ctx context.Context) string {
 	connected := callAllPeers(ctx, p, limits.ConnectivityTimeout,
 		func(ctx context.Context, node string, c peerpb.PeerClient) (string, error) {
 			reply, err := c.Able(ctx, &peerpb.ConnectivityRequest{})
--- a/internal/coordination/peer/server.go
+++ b/internal/coordination/peer/server.go
@@ -35,8 +35,8 @@
 
 // Elector handles the requests that concern leader election. Its methods are called concurrently.
 type Elector interface {
-	// CanReachStateService reports whether this process can reach the state service now.
-	CanReachStateService(ctx context.Context) bool
+	// CanLead reports whether this process can reach the state service now and answers requests of clients.
+	CanLead(ctx context.Context) bool
 	// AcceptOffer handles the offer of a leader that has resigned; keyVersion is the version of its leader
 	// key. This process may campaign at once.
 	AcceptOffer(term, keyVersion uint64)
@@ -115,7 +115,7 @@
 // controllers ask when they cannot reach the state service themselves: a leader to find a successor, any
 // controller for its health check. A leader that does not answer its clients asks, too.
 func (s *Server) Able(ctx context.Context, _ *peerpb.ConnectivityRequest) (*peerpb.ConnectivityReply, error) {
-	return &peerpb.ConnectivityReply{Connected: s.elector.CanReachStateService(ctx)}, nil
+	return &peerpb.ConnectivityReply{Connected: s.elector.CanLead(ctx)}, nil
 }
 
 // Take passes the leadership offer of a leader that has resigned to the elector.
