Name the same overdue job in the log whatever the order of a map

Cause: the scheduler's effects, log entries included, are the same for the same events. With several overdue jobs on a machine, the new line about a lease that is not renewed named one of them at random.

Change: the job with the lowest ID is named.

--- a/internal/coordination/scheduler/cancel_deadlines.go
+++ b/internal/coordination/scheduler/cancel_deadlines.go
@@ -59,15 +59,17 @@
 	}
 }
 
-// findCancelledJob returns a cancelled job of which a machine may still run an assigned task although the
-// time returned by deadline has passed, or nil if there is none.
+// findCancelledJob returns the cancelled job with the lowest ID of which a machine may still run an assigned
+// task although the time returned by deadline has passed, or nil if there is none.
 func (e *environment) findCancelledJob(m *machine, deadline func(*job) time.Duration) *job {
+	var found *job
 	for _, a := range m.assignments {
-		if a.job.cancelled && a.state != stateUnsent && e.now > deadline(a.job) {
-			return a.job
+		overdue := a.job.cancelled && a.state != stateUnsent && e.now > deadline(a.job)
+		if overdue && (found == nil || a.job.id < found.id) {
+			found = a.job
 		}
 	}
-	return nil
+	return found
 }
 
 // cancelDeletionAt returns the time at which a machine that still has a task of a cancelled job is
