Test the whole service with a cancellation, a cut and a failover

Change: a scenario may have worker times of its own. A new one has a long lease: machines with cancelled tasks are cut off, the leader fails, the machines reach the new leader just before their lease expires, and the cloud deletes nothing.

--- a/internal/coordination/controller/cluster_test.go
+++ b/internal/coordination/controller/cluster_test.go
@@ -35,6 +35,7 @@
 	nodeNames []string            // of all controllers, running or not
 	log       *slog.Logger
 	zones     []string // zone of each controller, in the order of nodeNames; machines use the same zones
+	times     config.WorkerTimes
 
 	mu            sync.Mutex
 	violations    []string          // one message for each violation of a rule
@@ -63,7 +64,7 @@
 var (
 	gangWaitTimeoutS   = 20.0
 	gangPeerDetectionS = 5.0
-	workerTimes        = config.WorkerTimes{
+	defaultWorkerTimes = config.WorkerTimes{
 		HeartbeatIntervalS: heartbeatIntervalS, LeaseS: workerLeaseS, CancelWithinS: cancelWithinS,
 		GangWaitTimeoutS: &gangWaitTimeoutS, GangPeerDetectionS: &gangPeerDetectionS,
 	}
@@ -86,10 +87,10 @@
 
 // runScenario starts a cluster in a synctest bubble, which has virtual time, and runs a scenario in it.
 // The test fails with one error for each rule violation.
-func runScenario(t *testing.T, seed uint64, scenario func(c *cluster)) {
+func runScenario(t *testing.T, seed uint64, times config.WorkerTimes, scenario func(c *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		c := newCluster(ctx, t, seed)
+		c := newCluster(ctx, t, seed, times)
 		for _, name := range c.nodeNames {
 			c.startController(name)
 		}
@@ -104,7 +105,7 @@
 
 // newCluster returns a cluster in which the stand-ins of the state service and the cloud run, but no
 // controller yet. Everything in the cluster runs until the context ends.
-func newCluster(ctx context.Context, t *testing.T, seed uint64) *cluster {
+func newCluster(ctx context.Context, t *testing.T, seed uint64, times config.WorkerTimes) *cluster {
 	c := &cluster{
 		t:            t,
 		random:       rand.New(rand.NewPCG(seed, 11)),
@@ -114,6 +115,7 @@
 		state:        standin.NewStateService(),
 		processes:    map[string]*process{},
 		zones:        []string{"a", "b", "c"},
+		times:        times,
 		log:          slog.New(slog.NewTextHandler(logOutput(), &slog.HandlerOptions{Level: slog.LevelDebug})),
 		jobs:         map[string]*job{},
 		runningTasks: map[string]string{},
@@ -130,7 +132,7 @@
 			Name: "c8", CPUs: machineCPUs, MemoryGB: 64, CacheGB: 50, FetchGBPerS: 1,
 			Price: 1, SpotPrice: 0.4, BootS: 4, Zones: c.zones,
 		}},
-		State: c.state, Controllers: controllers, Log: c.log, Network: c.network, WorkerTimes: workerTimes,
+		State: c.state, Controllers: controllers, Log: c.log, Network: c.network, WorkerTimes: times,
 		JobSpec: c.jobSpec, OnTaskChange: c.onTaskChange, InjectFault: c.cloudFault,
 	})
 	go standin.ServeListener(c.network.Listen("cloud:1"), c.cloud.Server(""))
@@ -173,7 +175,7 @@
 		Deployment: config.Deployment{
 			Zones:          c.zones,
 			Teams:          teams,
-			Workers:        workerTimes,
+			Workers:        c.times,
 			State:          stateLimits.LowerOfCurrentAndNext(),
 			Cloud:          config.CloudLimits{RPS: 5, ListLagS: 2},
 			MachineLimits:  config.MachineLimits{CoreShare: 0.2, MemoryMB: 100, MaxSockets: 500},
--- a/internal/coordination/controller/rules_test.go
+++ b/internal/coordination/controller/rules_test.go
@@ -51,7 +51,7 @@
 		return
 	}
 	c.runningTasks[task] = machine
-	if j.mustNotRun() {
+	if c.mustNotRun(j) {
 		c.recordViolation("ran_cancelled: task %s starts on %s %v after the cancellation was confirmed",
 			task, machine, time.Since(j.cancelConfirmedAt))
 	}
@@ -88,7 +88,7 @@
 		c.checkAtMostOneEntitled()
 		overdue := map[string]string{} // machine by task
 		for task, machine := range c.runningTasks {
-			if c.jobs[jobIDOf(task)].mustNotRun() {
+			if c.mustNotRun(c.jobs[jobIDOf(task)]) {
 				overdue[task] = machine
 			}
 		}
@@ -99,7 +99,7 @@
 			}
 			c.mu.Lock()
 			c.recordViolation("ran_cancelled: task %s runs on %s more than %v s after the cancellation was confirmed",
-				task, machine, cancelWithinS)
+				task, machine, c.times.CancelWithinS)
 			delete(c.runningTasks, task)
 			c.mu.Unlock()
 		}
--- a/internal/coordination/controller/scenarios_cancellation_test.go
+++ b/internal/coordination/controller/scenarios_cancellation_test.go
@@ -4,11 +4,18 @@
 	"net/http"
 	"time"
 
+	"quillshunt/internal/config"
 	"quillshunt/internal/limits"
 	"quillshunt/internal/protocol"
 	"quillshunt/internal/standin"
 )
 
+// longLeaseTimes are times with which a lease that is renewed shortly before it expires, on a machine that is cut
+// off, ends later than the tasks of a job that was cancelled at the beginning of the cut may run.
+var longLeaseTimes = config.WorkerTimes{
+	HeartbeatIntervalS: heartbeatIntervalS, LeaseS: 27, CancelWithinS: cancelWithinS,
+}
+
 // cancellationScenarios inject faults while jobs are cancelled.
 var cancellationScenarios = []scenario{
 	{
@@ -131,6 +138,33 @@
 			c.expect(c.runningTaskCount(j) == 0, "no task of the cancelled job runs")
 		},
 	},
+	{
+		name: "machines with cancelled tasks are cut off, and reach a new leader just before their lease expires; " +
+			"the cloud deletes nothing",
+		times: &longLeaseTimes,
+		run: func(c *cluster) {
+			c.startJobs(6, longTasks)
+			leader, oldTerm := c.waitForLeader(), c.currentTerm()
+			jobs := c.waitForRunningJobs(3)
+			var machines []string
+			for _, j := range jobs {
+				machines = append(machines, c.machinesOf(j)...)
+			}
+			c.setWorkerLinks(machines, standin.Drop, standin.Drop)
+			c.cancelConcurrently(jobs)
+			c.setDeletionsFail(true)
+			time.Sleep(500 * time.Millisecond)
+			c.expect(c.confirmedCancellations(jobs) == 3, "all jobs are cancelled while their machines are cut off")
+			c.restartController(leader, 3*time.Second)
+			c.waitForLeaderAfterTerm(oldTerm)
+			time.Sleep(limits.Seconds(longLeaseTimes.LeaseS) - 6*time.Second)
+			c.expect(c.runningTaskCount(jobs...) > 0, "tasks of the cancelled jobs run until their lease is over")
+			c.setWorkerLinks(machines, standin.Open, standin.Open)
+			time.Sleep(limits.Seconds(cancelWithinS))
+			c.expect(c.runningTaskCount(jobs...) == 0, "no task of the cancelled jobs runs")
+			c.setDeletionsFail(false)
+		},
+	},
 	{
 		name: "machines with cancelled tasks hang and resume before their lease expires",
 		run: func(c *cluster) {
--- a/internal/coordination/controller/scenarios_test.go
+++ b/internal/coordination/controller/scenarios_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"quillshunt/internal/config"
 	"quillshunt/internal/protocol"
 )
 
@@ -30,8 +31,17 @@
 // faults, checks with expect that they had the intended effect, and ends all faults. The protocol rules
 // are checked throughout the run; afterwards awaitCompletion checks that all jobs finish.
 type scenario struct {
-	name string
-	run  func(c *cluster)
+	name  string
+	times *config.WorkerTimes // nil: defaultWorkerTimes
+	run   func(c *cluster)
+}
+
+// workerTimes returns the times of the workers in the scenario.
+func (s *scenario) workerTimes() config.WorkerTimes {
+	if s.times != nil {
+		return *s.times
+	}
+	return defaultWorkerTimes
 }
 
 // generalScenarios cover a cluster without faults, and unusual or invalid user requests.
@@ -121,7 +131,7 @@
 		for _, seed := range seeds {
 			t.Run(fmt.Sprintf("%s/%d", sc.name, seed), func(t *testing.T) {
 				t.Parallel()
-				runScenario(t, seed, func(c *cluster) {
+				runScenario(t, seed, sc.workerTimes(), func(c *cluster) {
 					sc.run(c)
 					c.awaitCompletion()
 				})
--- a/internal/coordination/controller/users_test.go
+++ b/internal/coordination/controller/users_test.go
@@ -23,10 +23,10 @@
 	finalState        protocol.JobState // the first final state in a response; empty until then
 }
 
-// mustNotRun reports whether the cancellation of the job was confirmed more than cancelWithinS seconds
-// ago, so that none of its tasks may run any more.
-func (j *job) mustNotRun() bool {
-	return !j.cancelConfirmedAt.IsZero() && time.Since(j.cancelConfirmedAt) > limits.Seconds(cancelWithinS)
+// mustNotRun reports whether the cancellation of a job was confirmed so long ago that none of its tasks may run
+// any more. The caller holds mu.
+func (c *cluster) mustNotRun(j *job) bool {
+	return !j.cancelConfirmedAt.IsZero() && time.Since(j.cancelConfirmedAt) > limits.Seconds(c.times.CancelWithinS)
 }
 
 // jobSpec returns the spec of a job, or false if there is no such job. The stand-in workers call it.
