Renew no lease while an old start of a cancelled task may arrive

A start that an earlier leader sent before a cancellation may arrive after a worker has sent a heartbeat with the earlier token. The task is neither assigned nor listed then, and the answer renews the lease for longer than the task may run.

Change: after the time for answers, the lease of a machine that has not seen this term's token is not renewed before a probe has conveyed it, while the machines that have not reported are few.

--- a/internal/coordination/scheduler/cancel_deadlines.go
+++ b/internal/coordination/scheduler/cancel_deadlines.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"time"
 
 	"quillshunt/internal/limits"
@@ -10,11 +11,12 @@
 // mayRenewLease reports whether the reply to a heartbeat may renew the worker's lease. It must not once a
 // task of a cancelled job that may be on the machine would run for longer than cancel_s if no further
 // message reached the worker. Such a task is assigned to the machine, or is listed by the heartbeat, as an
-// earlier leader may have started it. The machine is nil if it is unknown.
+// earlier leader may have started it, or its start may be on its way from an earlier leader. The machine is
+// nil if it is unknown.
 func (s *Scheduler) mayRenewLease(m *machine, heartbeat *protocol.Heartbeat) bool {
 	var overdue *job
 	if m != nil {
-		overdue = s.findCancelledJob(m, s.cancelReplyUntil)
+		overdue = cmp.Or(s.findCancelledJob(m, s.cancelReplyUntil), s.findUnfencedStart(m))
 	}
 	s.eachCancelledTask(heartbeat, func(j *job, _ *protocol.TaskStatus) {
 		if s.now > s.cancelReplyUntil(j) {
@@ -28,6 +30,22 @@
 	return overdue == nil
 }
 
+// findUnfencedStart returns the oldest cancelled job whose tasks must not outlive the present lease of a machine,
+// if a start of the job may still be on its way from an earlier leader to the machine, or nil. That ends once
+// the worker has seen this term's fencing token, which a probe conveys. If many machines have not reported in
+// this term, nil is returned: they could not all be probed before their leases expire.
+func (s *Scheduler) findUnfencedStart(m *machine) *job {
+	if !m.mayHoldEarlierTermTasks() || !s.recovery.hasFewUnreported() {
+		return nil
+	}
+	for _, j := range s.jobs.oldestFirst() {
+		if j.cancelled && s.now > s.cancelReplyUntil(j) {
+			return j
+		}
+	}
+	return nil
+}
+
 // stopsOfCancelledTasks returns the commands that stop the tasks of cancelled jobs that a heartbeat lists.
 func (s *Scheduler) stopsOfCancelledTasks(heartbeat *protocol.Heartbeat) []protocol.Command {
 	var commands []protocol.Command
--- a/internal/coordination/scheduler/cancel_test.go
+++ b/internal/coordination/scheduler/cancel_test.go
@@ -228,6 +228,35 @@
 	}
 }
 
+// TestStartOfEarlierLeaderDoesNotOutliveCancellation checks a machine that reaches a new leader with the fencing
+// token of the earlier leader, whose direct start of a task that was cancelled long ago may still be on its way.
+// The heartbeat does not list the task. The lease must not be renewed before the worker has seen the new token,
+// with which it refuses the start, and a probe must convey the token.
+func TestStartOfEarlierLeaderDoesNotOutliveCancellation(t *testing.T) {
+	const lease, cancelWithin = 27 * time.Second, 47 * time.Second
+	for _, overdue := range []bool{false, true} {
+		t.Run(fmt.Sprintf("overdue %v", overdue), func(t *testing.T) {
+			f := newSchedulerFixtureWithTimes(t, 1, lease, cancelWithin)
+			f.submitJob("job-1", "red", "standard", 1, 8, 0)
+			age := limits.CancelHeartbeatWindow(cancelWithin, lease) - limits.ProbeInterval - time.Second
+			if overdue {
+				age += 2 * time.Second
+			}
+			f.cancel("job-1", age)
+			f.now += limits.ProbeInterval
+			reply := f.sendUnfenced(f.heartbeat(f.machine(0)))
+			probed := slices.ContainsFunc(f.effects, func(e Effect) bool { _, ok := e.(ProbeMachine); return ok })
+			if reply.Accepted == overdue || probed != overdue {
+				t.Errorf("accepted %v, probed %v; want %v, %v", reply.Accepted, probed, !overdue, overdue)
+			}
+			f.step(ProbeDone{Machine: f.machine(0), Heartbeat: f.heartbeat(f.machine(0))})
+			if !f.sendAndCheckAccepted(f.heartbeat(f.machine(0))) {
+				t.Error("heartbeat with the new token rejected")
+			}
+		})
+	}
+}
+
 // runningTask returns the status of a running task that an earlier term has started.
 func runningTask(task string) protocol.TaskStatus {
 	return protocol.TaskStatus{Task: task, Attempt: 1, State: protocol.TaskRunning}
