Test each order of a replacement and the old leader's first requests

Change: TestReplacedLeaderStaysReplaced applies the campaign before each of the first six requests that the old leader makes after the cut, with and without the lost answer, for three and for five controllers. It also checks that the old leader goes on if the campaign fails.

--- a/internal/coordination/election/election_test.go
+++ b/internal/coordination/election/election_test.go
@@ -200,54 +200,87 @@
 	}
 }
 
-// TestReplacedLeaderStaysReplaced checks a leader that is replaced at the moment at which it becomes
-// reachable again: its last heartbeat record was applied without an answer, the next one is therefore
-// refused, and the campaign that replaces it is applied before it reads the stored record. Two leaders
-// would be entitled if it requested votes for the record of its successor.
+// replacementOrder is an order of events in which a leader is replaced while it becomes reachable again.
+type replacementOrder struct {
+	controllers int
+	unconfirmed bool // the leader's last heartbeat record was applied without a reply
+	requests    int  // requests of the leader to the state service that are executed before the replacement
+}
+
+// TestReplacedLeaderStaysReplaced checks a leader that becomes reachable again at the moment at which it is
+// replaced, in each order of the replacement and of its first requests to the state service. If its last
+// heartbeat record was applied without a reply, its next one is refused, and it reads the stored record: two
+// leaders would be entitled if it requested votes for that of its successor.
 func TestReplacedLeaderStaysReplaced(t *testing.T) {
-	for _, size := range []int{3, 5} {
-		t.Run(fmt.Sprintf("%d controllers", size), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { checkReplacedLeader(t, size) })
-		})
+	const maxRequests = 6
+	replaced := 0
+	for _, controllers := range []int{3, 5} {
+		for _, unconfirmed := range []bool{false, true} {
+			for requests := range maxRequests {
+				order := replacementOrder{controllers, unconfirmed, requests}
+				t.Run(fmt.Sprintf("%+v", order), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						if checkReplacedLeader(t, order) {
+							replaced++
+						}
+					})
+				})
+			}
+		}
+	}
+	if replaced == 0 {
+		t.Error("the leader was replaced in no order")
 	}
 }
 
-func checkReplacedLeader(t *testing.T, size int) {
-	c := newCluster(size, 8)
+// checkReplacedLeader checks one order and reports whether the replacement succeeded. If the leader has written
+// another heartbeat record before, it must fail.
+func checkReplacedLeader(t *testing.T, order replacementOrder) (succeeded bool) {
+	c := newCluster(order.controllers, 8)
 	defer c.crash()
 	k := &invariantChecker{t: t, cluster: c, leaderships: map[uint64]*Leadership{}}
 	c.start()
 	k.runFor(15 * time.Second)
-	replaced := c.leader()
-	if replaced == nil {
+	leader := c.leader()
+	if leader == nil {
 		t.Fatal("no leader was elected")
 	}
-	old := replaced.entitledLeadership()
-	replaced.isolate(time.Now().Add(time.Hour))
-	replaced.store.setRejected(time.Now().Add(time.Hour))
-	c.service.CompareAndSwap(protocol.Transaction{Operations: []protocol.Operation{{
-		Put: storage.KeyLeaderHeartbeat, Value: protocol.Encode(storage.LeaderHeartbeat{Term: old.Term, Sequence: 100}),
-	}}})
+	old := leader.entitledLeadership()
+	leader.isolate(time.Now().Add(time.Hour))
+	leader.store.setRejected(time.Now().Add(time.Hour))
+	if order.unconfirmed {
+		record := protocol.Encode(storage.LeaderHeartbeat{Term: old.Term, Sequence: 100})
+		c.service.CompareAndSwap(protocol.Transaction{
+			Operations: []protocol.Operation{{Put: storage.KeyLeaderHeartbeat, Value: record}},
+		})
+	}
 	for _, n := range c.nodes {
-		n.store.setCaptureCampaigns(n != replaced)
+		n.store.setCaptureCampaigns(n != leader)
 	}
 	k.runUntil(time.Now().Add(time.Minute), func() bool { return c.capturedCampaign() != nil })
 	campaign := c.capturedCampaign()
 	if campaign == nil {
 		t.Fatal("no node campaigned")
 	}
-	replaced.store.onHeartbeatRead(func() {
-		c.service.CompareAndSwap(*campaign)
-		for _, n := range c.nodes {
-			n.store.setCaptureCampaigns(false)
+	requests := 0
+	leader.store.onRequest(func() {
+		if requests == order.requests {
+			status, _ := c.service.CompareAndSwap(*campaign)
+			succeeded = status == http.StatusOK
+			for _, n := range c.nodes {
+				n.store.setCaptureCampaigns(false)
+			}
 		}
+		requests++
 	})
-	replaced.isolate(time.Time{})
-	replaced.store.setRejected(time.Time{})
+	leader.isolate(time.Time{})
+	leader.store.setRejected(time.Time{})
 	k.runFor(30 * time.Second)
-	if l := c.leader(); l == nil || l.entitledLeadership().Term == old.Term {
-		t.Errorf("entitled leadership is %v, want a later term than %d", l, old.Term)
+	l := c.leader()
+	if l == nil || (l.entitledLeadership().Term > old.Term) != succeeded {
+		t.Errorf("entitled leadership is %v after term %d, replacement succeeded: %v", l, old.Term, succeeded)
 	}
+	return succeeded
 }
 
 // TestRestartedLeaderCampaignsAtOnce checks that a leader that restarts under the same name does
--- a/internal/coordination/election/store_test.go
+++ b/internal/coordination/election/store_test.go
@@ -30,7 +30,7 @@
 	captured         []protocol.Transaction // captured campaigns, for the test to apply
 	slow             bool                   // all requests take up to slowRequestMax
 	losesReplies     bool                   // transactions are applied, but get no reply
-	heartbeatRead    func()                 // if not nil, called before each read of the heartbeat record
+	beforeRequest    func()                 // if not nil, called before each read and transaction is executed
 }
 
 // slowRequestMax is the longest delay of a request, in milliseconds. It is below limits.StateTimeout.
@@ -119,11 +119,21 @@
 	return lost || u.losesMessage()
 }
 
-// onHeartbeatRead sets a function that is called before each read of the heartbeat record.
-func (u *unreliableStore) onHeartbeatRead(call func()) {
+// onRequest sets a function that is called before each read and each transaction of this node is executed.
+func (u *unreliableStore) onRequest(call func()) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.heartbeatRead = call
+	u.beforeRequest = call
+}
+
+// callBeforeRequest calls the function that onRequest has set.
+func (u *unreliableStore) callBeforeRequest() {
+	u.mu.Lock()
+	call := u.beforeRequest
+	u.mu.Unlock()
+	if call != nil {
+		call()
+	}
 }
 
 // setReliable ends the rejection and the loss of messages.
@@ -164,12 +174,7 @@
 	if err := u.deliver(ctx); err != nil {
 		return protocol.KeyValue{}, err
 	}
-	u.mu.Lock()
-	call := u.heartbeatRead
-	u.mu.Unlock()
-	if call != nil && key == storage.KeyLeaderHeartbeat {
-		call()
-	}
+	u.callBeforeRequest()
 	value, _ := u.service.Get(key)
 	return value, nil
 }
@@ -181,6 +186,7 @@
 	if u.captureCampaign(t) {
 		return 0, storage.ErrOutcomeUnknown
 	}
+	u.callBeforeRequest()
 	if u.losesMessage() {
 		// The node gets no reply. The transaction is applied later or not at all.
 		if u.withProbability(0.7) {
