Measure requests on a free port

Cause: the benchmark of requests had a fixed port, which another process may use.

Change: it starts its server like the tests do.

--- a/internal/transport/bench_test.go
+++ b/internal/transport/bench_test.go
@@ -1,7 +1,6 @@
 package transport
 
 import (
-	"log/slog"
 	"net/http"
 	"testing"
 
@@ -12,15 +11,13 @@
 // heartbeat of a machine with 20 tasks.
 func BenchmarkRequest(b *testing.B) {
 	const heartbeatBytes = 1500
-	server := NewServer(ServerOptions{
-		Addr: "127.0.0.1:17461", MaxConns: 10, MaxMachineConns: 5, Log: slog.New(slog.DiscardHandler),
+	server := startServer(b, ServerOptions{
+		MaxConns: 10, MaxMachineConns: 5,
 		Handle: func(_ *Message, responder *Responder) {
 			responder.ClaimMachineSlot()
 			responder.Respond(http.StatusOK, make([]byte, 100), 0)
 		},
 	})
-	go func() { _ = server.Run(b.Context()) }()
-	dialUntilAccepted(server.Addr()).Close()
 	client := NewClient(server.Addr(), 1, limits.MaxBodyBytes)
 	body := make([]byte, heartbeatBytes)
 	for b.Loop() {
--- a/internal/transport/sockets_test.go
+++ b/internal/transport/sockets_test.go
@@ -13,7 +13,7 @@
 )
 
 // startServer runs a server on a free address until the test ends.
-func startServer(t *testing.T, options ServerOptions) *Server {
+func startServer(t testing.TB, options ServerOptions) *Server {
 	t.Helper()
 	server, _ := startStoppableServer(t, options)
 	return server
@@ -21,7 +21,7 @@
 
 // startStoppableServer runs a server on a free address until the test ends or stop is called. stop waits
 // for Server.Run to return, and returns its error.
-func startStoppableServer(t *testing.T, options ServerOptions) (server *Server, stop func() error) {
+func startStoppableServer(t testing.TB, options ServerOptions) (server *Server, stop func() error) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
