Forget a stall of the event loop when the loop is started again

Cause: the figure for a stalled loop stayed until the first tick after a connection, if the loop had ended and was started again.

Change: a new run of the loop begins without a stall.

--- a/internal/transport/events.go
+++ b/internal/transport/events.go
@@ -27,6 +27,7 @@
 
 // newEventHandler returns the handler for one run of the event loop, which ends when ctx is done.
 func newEventHandler(ctx context.Context, server *Server) *eventHandler {
+	server.loopStalled.Store(0) // of an earlier run
 	return &eventHandler{
 		server:   server,
 		ctx:      ctx,
