Count and log why user requests are or are not answered

Each user request now has an outcome (from memory, from the state service, no slot, rate limit here or at the service, service failing, cancellation unconfirmed, timeout), calls to the state service have a result, and the leader's mailbox an age. Every controller logs the counts every 10 s; with the option metrics.listen it also serves them in the text format of Prometheus.

--- a/internal/config/options.go
+++ b/internal/config/options.go
@@ -20,6 +20,14 @@
 	Leadership LeadershipOptions `toml:"leadership"`
 	Preemption PreemptionOptions `toml:"preemption"`
 	Fleet      FleetOptions      `toml:"fleet"`
+	Metrics    MetricsOptions    `toml:"metrics"`
+}
+
+// MetricsOptions configure the metrics.
+type MetricsOptions struct {
+	// Listen is the TCP address, such as 127.0.0.1:9100, on which the metrics are served over HTTP. If it is
+	// empty, they are not served.
+	Listen string `toml:"listen"`
 }
 
 // LeadershipOptions configure the leader lease.
@@ -155,6 +163,7 @@
 		return nil
 	}
 	return errors.Join(
+		o.Metrics.check(),
 		checkDuration("leadership.leader_lease", o.Leadership.LeaderLease,
 			limits.LeaderLeaseMin, limits.LeaderLeaseMax),
 		checkDuration("preemption.slack", o.Preemption.Slack, 0, time.Hour),
@@ -168,3 +177,11 @@
 		checkDuration("fleet.expensive_pool_slack", o.Fleet.ExpensivePoolSlack, 0, 24*time.Hour),
 	)
 }
+
+// check checks that the address of the metrics is empty, or an IP address with a port.
+func (m *MetricsOptions) check() error {
+	if m.Listen == "" {
+		return nil
+	}
+	return checkAddress("metrics.listen", m.Listen)
+}
--- a/internal/config/options_renamed.go
+++ b/internal/config/options_renamed.go
@@ -23,16 +23,23 @@
 		DearRatio   *float64  `toml:"dear_ratio"`
 		DearSlack   *Duration `toml:"dear_slack"`
 	} `toml:"fleet"`
+	Metrics MetricsOptions `toml:"metrics"`
 }
 
 func (f *optionsFile) setDefaults(o Options) {
 	f.Leadership.LeadershipOptions = o.Leadership
 	f.Preemption = o.Preemption
 	f.Fleet.FleetOptions = o.Fleet
+	f.Metrics = o.Metrics
 }
 
 func (f *optionsFile) options() Options {
-	return Options{Leadership: f.Leadership.LeadershipOptions, Preemption: f.Preemption, Fleet: f.Fleet.FleetOptions}
+	return Options{
+		Leadership: f.Leadership.LeadershipOptions,
+		Preemption: f.Preemption,
+		Fleet:      f.Fleet.FleetOptions,
+		Metrics:    f.Metrics,
+	}
 }
 
 // renamedOption is an option that can also be set by its old name. Both names include the TOML table.
--- a/internal/coordination/controller/controller.go
+++ b/internal/coordination/controller/controller.go
@@ -13,6 +13,7 @@
 	"quillshunt/internal/coordination/leader"
 	"quillshunt/internal/coordination/peer"
 	"quillshunt/internal/limits"
+	"quillshunt/internal/metrics"
 	"quillshunt/internal/storage"
 	"quillshunt/internal/transport"
 )
@@ -21,6 +22,8 @@
 // leader election, and runs the scheduler while it is the leader.
 type Controller struct {
 	settings *config.Settings
+	options  config.Options
+	metrics  *metrics.Metrics
 	log      *slog.Logger
 
 	store      *storage.Store
@@ -40,7 +43,8 @@
 	sockets := transport.NewSocketBudget(shares.MaxConns, shares.InboundHeadroom)
 
 	// Clients of the state service, the cloud and the other controllers.
-	store := storage.New(s.External.State, s.Deployment.State).WithDialer(dialer)
+	counters := metrics.New()
+	store := storage.New(s.External.State, s.Deployment.State).WithDialer(dialer).WithMetrics(counters)
 	cloud := leader.NewCloudClient(s.External.Cloud, s.Deployment.Cloud.RPS, dialer)
 	peers, err := peer.NewPeers(s.Members, dialer)
 	if err != nil {
@@ -55,9 +59,13 @@
 		Cloud:    cloud,
 		Sockets:  sockets,
 		Dialer:   dialer,
+		Metrics:  counters,
 		Log:      log,
 	})
-	c := &Controller{settings: s, log: log, store: store, peers: peers, dispatcher: dispatcher}
+	c := &Controller{
+		settings: s, options: options, metrics: counters, log: log,
+		store: store, peers: peers, dispatcher: dispatcher,
+	}
 	c.elector = election.New(election.Options{
 		Node:           s.NodeName,
 		Store:          store,
@@ -86,6 +94,7 @@
 		Peers:      c.peers,
 		LeaderName: c.elector.Leader,
 		UserSlots:  shares.UserSlots,
+		Metrics:    c.metrics,
 		Log:        c.log,
 	})
 }
@@ -118,7 +127,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	c.start(ctx)
-	serverErrors := make(chan error, 2)
+	serverErrors := make(chan error, 3)
+	if addr := c.options.Metrics.Listen; addr != "" {
+		go func() { serverErrors <- c.metrics.Run(ctx, addr) }()
+	}
 	go func() { serverErrors <- c.peerServer.Run(ctx, c.settings.PeerBind) }()
 	go func() { serverErrors <- c.clientServer.Run(ctx) }()
 	return <-serverErrors
--- a/internal/coordination/gateway/cancellations.go
+++ b/internal/coordination/gateway/cancellations.go
@@ -21,7 +21,7 @@
 		return jobNotFoundResponse()
 	}
 	if status, ok := g.cachedFinalStatus(id); ok {
-		return statusResponse(http.StatusOK, status)
+		return cachedStatusResponse(status)
 	}
 	for {
 		// After an attempt without a result the record is read again. The loop ends with the context at
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"quillshunt/internal/coordination/leader"
 	"quillshunt/internal/coordination/peer"
 	"quillshunt/internal/limits"
+	"quillshunt/internal/metrics"
 	"quillshunt/internal/protocol"
 	"quillshunt/internal/storage"
 )
@@ -23,8 +24,9 @@
 	Store      *storage.Store // the one for users' requests, see storage.Store.ForUserRequests
 	Dispatcher *leader.Dispatcher
 	Peers      *peer.Peers
-	LeaderName func() string // returns the name of the leading controller, or "" if none is known
-	UserSlots  int           // maximum number of user requests handled at once
+	LeaderName func() string    // returns the name of the leading controller, or "" if none is known
+	UserSlots  int              // maximum number of user requests handled at once
+	Metrics    *metrics.Metrics // or nil
 	Log        *slog.Logger
 }
 
@@ -38,7 +40,9 @@
 	dispatcher *leader.Dispatcher
 	peers      *peer.Peers
 	leaderName func() string
+	metrics    *metrics.Metrics // or nil
 	log        *slog.Logger
+	summary    requestSummary
 
 	ctx context.Context // ends all work on requests; set by Start, because Handle has no context
 
@@ -62,6 +66,7 @@
 		dispatcher:  o.Dispatcher,
 		peers:       o.Peers,
 		leaderName:  o.LeaderName,
+		metrics:     o.Metrics,
 		log:         o.Log,
 		userSlots:   make(chan struct{}, o.UserSlots),
 		relaySlots:  make(chan struct{}, limits.RelaySlots),
@@ -69,8 +74,10 @@
 	}
 }
 
-// Start starts the periodic refresh of the machine types. All work of the Gateway ends with the context.
+// Start starts the periodic refresh of the machine types and the periodic log entries. All work of the
+// Gateway ends with the context.
 func (g *Gateway) Start(ctx context.Context) {
 	g.ctx = ctx
+	go g.logSummaries(ctx)
 	go g.refreshMachineTypes(ctx)
 }
--- a/internal/coordination/gateway/job_status.go
+++ b/internal/coordination/gateway/job_status.go
@@ -16,6 +16,9 @@
 	if !protocol.IsValidJobID(id) {
 		return jobNotFoundResponse()
 	}
+	if status, ok := g.cachedFinalStatus(id); ok {
+		return cachedStatusResponse(status)
+	}
 	status, found, err := g.readJobStatus(ctx, id)
 	switch {
 	case err != nil:
--- a/internal/coordination/gateway/routes.go
+++ b/internal/coordination/gateway/routes.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 
+	"quillshunt/internal/metrics"
 	"quillshunt/internal/transport"
 )
 
@@ -24,6 +25,13 @@
 	actionCancel
 )
 
+// metricActions holds the name of each user action in the metrics.
+var metricActions = [...]metrics.Action{
+	actionSubmit: metrics.ActionSubmit,
+	actionStatus: metrics.ActionPoll,
+	actionCancel: metrics.ActionCancel,
+}
+
 // userRoute is the operation that a request path of the user API selects.
 type userRoute struct {
 	action userAction
--- a/internal/coordination/gateway/submissions.go
+++ b/internal/coordination/gateway/submissions.go
@@ -23,7 +23,7 @@
 		return errorResponse(http.StatusBadRequest, err.Error())
 	}
 	if status, ok := g.cachedFinalStatus(spec.ID); ok {
-		return statusResponse(http.StatusOK, status)
+		return cachedStatusResponse(status)
 	}
 	types := g.machineTypes.Load()
 	if types == nil {
--- a/internal/coordination/gateway/users.go
+++ b/internal/coordination/gateway/users.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"quillshunt/internal/limits"
+	"quillshunt/internal/metrics"
 	"quillshunt/internal/protocol"
 	"quillshunt/internal/transport"
 )
@@ -27,8 +28,11 @@
 		arrivedAt := time.Now()
 		go func() {
 			defer func() { <-g.userSlots }()
-			status := g.serveUserRequest(route, req.Body, rsp)
-			g.log.Debug("user request handled", "path", req.Path, "status", status, "duration", time.Since(arrivedAt))
+			response := g.serveUserRequest(route, req.Body, rsp)
+			duration := time.Since(arrivedAt)
+			g.countRequest(metricActions[route.action], response.outcome, duration)
+			g.log.Debug("user request handled", "path", req.Path, "status", response.status,
+				"reason", response.outcome, "duration", duration)
 		}()
 	default:
 		g.rejectUserRequest(route, req.Body, rsp)
@@ -45,11 +49,12 @@
 		rsp.Respond(http.StatusBadRequest, nil, 0)
 	default:
 		rsp.Respond(http.StatusServiceUnavailable, nil, limits.MinRetryAfterSeconds)
+		g.countRequest(metricActions[route.action], metrics.OutcomeNoSlot, 0)
 	}
 }
 
-// serveUserRequest executes a user request, sends the response and returns its HTTP status.
-func (g *Gateway) serveUserRequest(route userRoute, body []byte, rsp *transport.Responder) int {
+// serveUserRequest executes a user request, sends the response and returns it.
+func (g *Gateway) serveUserRequest(route userRoute, body []byte, rsp *transport.Responder) response {
 	response := g.executeUserAction(route, body)
 	retryAfter := 0
 	if response.status == http.StatusServiceUnavailable {
@@ -63,7 +68,7 @@
 		}
 	}
 	rsp.Respond(response.status, response.body, retryAfter)
-	return response.status
+	return response
 }
 
 // executeUserAction executes the action that a user requests, within the time limit of the action.
--- a/internal/coordination/leader/dispatcher.go
+++ b/internal/coordination/leader/dispatcher.go
@@ -17,6 +17,7 @@
 	"quillshunt/internal/coordination/peer/peerpb"
 	"quillshunt/internal/coordination/scheduler"
 	"quillshunt/internal/limits"
+	"quillshunt/internal/metrics"
 	"quillshunt/internal/storage"
 	"quillshunt/internal/transport"
 )
@@ -29,6 +30,7 @@
 	Cloud    *CloudClient
 	Sockets  *transport.SocketBudget // nil: unlimited
 	Dialer   transport.Dialer        // for connections to workers; nil: TCP
+	Metrics  *metrics.Metrics        // or nil
 	Log      *slog.Logger
 }
 
@@ -41,6 +43,7 @@
 	cloud        *CloudClient
 	sockets      *transport.SocketBudget // or nil
 	dialer       transport.Dialer        // for connections to workers
+	metrics      *metrics.Metrics        // or nil
 	log          *slog.Logger
 	onTermLost   func(term uint64)
 	currentActor atomic.Pointer[termActor] // nil while this process does not lead
@@ -55,6 +58,7 @@
 		cloud:      o.Cloud,
 		sockets:    o.Sockets,
 		dialer:     o.Dialer,
+		metrics:    o.Metrics,
 		log:        o.Log,
 		onTermLost: func(uint64) {},
 	}
@@ -181,6 +185,8 @@
 	t := newTermActor(d, leadership)
 	d.currentActor.Store(t)
 	defer d.currentActor.Store(nil)
+	d.metrics.SetTerm(leadership.Term)
+	defer d.metrics.EndTerm()
 	defer t.rejectQueuedHeartbeats()
 	defer t.workerClients.closeAll()
 
--- a/internal/coordination/leader/term_actor.go
+++ b/internal/coordination/leader/term_actor.go
@@ -113,6 +113,7 @@
 		t.step(ctx, msg.event)
 	case observedRevisionMessage:
 		t.leadership.SetObservedRevision(msg.revision)
+		t.dispatcher.metrics.SetObservedRevision(msg.revision)
 	case taskCountsMessage:
 		t.step(ctx, scheduler.TaskCountsRequested{JobID: msg.job, ReplyTo: msg.reply})
 	case cancellationMessage:
@@ -127,6 +128,7 @@
 func (t *termActor) handleHeartbeat(ctx context.Context, msg heartbeatMessage) {
 	wait := time.Since(msg.arrivedAt)
 	t.longestMailboxWait = max(t.longestMailboxWait, wait)
+	t.dispatcher.metrics.SetMailbox(len(t.mailbox), wait)
 	if wait > limits.SlowHeartbeatThreshold {
 		t.lastSlowHeartbeatAt.Store(int64(t.now()))
 	}
--- a/internal/storage/errors.go
+++ b/internal/storage/errors.go
@@ -17,6 +17,12 @@
 	// ErrRateLimited means that the service rejected the request because its own rate limit was exceeded
 	// (429). An error that wraps it also wraps ErrNotExecuted.
 	ErrRateLimited = errors.New("rate limit of the state service exceeded")
+	// ErrShareExhausted means that the request was not sent because the wait for this client's share of the
+	// service's rate limits would have taken too long. An error that wraps it also wraps ErrNotExecuted.
+	ErrShareExhausted = errors.New("share of the state service's rate limit used up")
+	// ErrServiceFailing means that the request was not sent because calls have been failing for some time. An
+	// error that wraps it also wraps ErrNotExecuted.
+	ErrServiceFailing = errors.New("calls to the state service have been failing for some time")
 	// ErrOutcomeUnknown means that no usable reply arrived. The request may have been executed, or may
 	// still be executed later. Only reading the keys can show whether it was.
 	ErrOutcomeUnknown = errors.New("no usable reply from the state service; outcome unknown")
--- a/internal/storage/rate.go
+++ b/internal/storage/rate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"golang.org/x/time/rate"
 )
@@ -18,20 +19,22 @@
 func (s *Store) waitForRateLimit(ctx context.Context, operations int) error {
 	if s.maxRateWait > 0 {
 		if s.IsUnavailable() {
-			return fmt.Errorf("%w: calls have been failing for some time", ErrNotExecuted)
+			return fmt.Errorf("%w: %w", ErrNotExecuted, ErrServiceFailing)
 		}
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, s.maxRateWait)
 		defer cancel()
 	}
+	startedAt := time.Now()
+	defer func() { s.metrics.CountRateWait(s.share, time.Since(startedAt)) }()
 	if err := s.requestLimiter.Wait(ctx); err != nil {
-		return fmt.Errorf("%w: wait for the request rate limit: %w", ErrNotExecuted, err)
+		return fmt.Errorf("%w: %w: requests: %w", ErrNotExecuted, ErrShareExhausted, err)
 	}
 	if operations == 0 {
 		return nil
 	}
 	if err := s.writeLimiter.WaitN(ctx, operations); err != nil {
-		return fmt.Errorf("%w: wait for the write rate limit: %w", ErrNotExecuted, err)
+		return fmt.Errorf("%w: %w: writes: %w", ErrNotExecuted, ErrShareExhausted, err)
 	}
 	return nil
 }
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -11,6 +11,7 @@
 
 	"quillshunt/internal/config"
 	"quillshunt/internal/limits"
+	"quillshunt/internal/metrics"
 	"quillshunt/internal/protocol"
 	"quillshunt/internal/transport"
 )
@@ -30,8 +31,16 @@
 	maxRateWait    time.Duration // longest wait for the rate limits; 0: until the context is done
 	serviceLimits  config.StateLimits
 	health         *serviceHealth
+	share          string           // name of the share of the rate limits, for the metrics
+	metrics        *metrics.Metrics // or nil
 }
 
+// Names of the shares of the rate limits, for the metrics.
+const (
+	shareControllers = "controllers"
+	shareUsers       = "users"
+)
+
 // New returns a Store for the controllers' own work. Its share of the rate limits is not divided among
 // the controllers, because nearly all of this work is the leader's.
 func New(address string, serviceLimits config.StateLimits) *Store {
@@ -43,9 +52,16 @@
 		writeLimiter:   newLimiter(serviceLimits.WriteRPS, limits.ControllerWriteShare, serviceLimits.TxnOps),
 		serviceLimits:  serviceLimits,
 		health:         &serviceHealth{},
+		share:          shareControllers,
 	}
 }
 
+// WithMetrics sets where calls are counted, and returns s. It must be called before the first call.
+func (s *Store) WithMetrics(m *metrics.Metrics) *Store {
+	s.metrics = m
+	return s
+}
+
 // WithDialer sets the dialer for connections to the service, and returns s. It must be called before the
 // first call.
 func (s *Store) WithDialer(d transport.Dialer) *Store {
@@ -62,6 +78,7 @@
 	users.requestLimiter = newLimiter(s.serviceLimits.RPS, limits.UserReadShare, 1)
 	users.writeLimiter = newLimiter(s.serviceLimits.WriteRPS, limits.UserWriteShare, s.serviceLimits.TxnOps)
 	users.maxRateWait = limits.UserRateLimitWait
+	users.share = shareUsers
 	return &users
 }
 
@@ -77,15 +94,31 @@
 func (s *Store) callWithTimeout(
 	ctx context.Context, timeout time.Duration, method, target string, body []byte,
 ) (*transport.Message, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	startedAt := time.Now()
 	s.health.recordStart(startedAt)
-	reply, err := s.client.Do(ctx, method, target, body)
+	reply, err := s.client.Do(callCtx, method, target, body)
 	s.health.recordOutcome(startedAt, reply, err)
+	s.metrics.CountStateCall(s.share, callResult(ctx, reply, err))
 	return checkReply(reply, err)
 }
 
+// callResult returns the result of a call for the metrics. The context is the caller's.
+func callResult(ctx context.Context, reply *transport.Message, err error) metrics.CallResult {
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return metrics.CallGivenUp
+	case err != nil:
+		return metrics.CallNoReply
+	case reply.Status == http.StatusTooManyRequests:
+		return metrics.CallRateLimited
+	case reply.Status == http.StatusServiceUnavailable:
+		return metrics.CallRejected
+	}
+	return metrics.CallReplied
+}
+
 // checkReply returns an error that wraps ErrNotExecuted or ErrOutcomeUnknown if the call failed, or if the
 // status of its reply means that the service did not execute it.
 func checkReply(reply *transport.Message, err error) (*transport.Message, error) {
