--- a/internal/coordination/controller/cluster_test.go
+++ b/internal/coordination/controller/cluster_test.go
@@ -35,6 +35,7 @@
 	nodeNames []string            // of all controllers, running or not
 	log       *slog.Logger
 	zones     []string // zone of each controller, in the order of nodeNames; machines use the same zones
+	options   clusterOptions
 	times     config.WorkerTimes
 
 	mu            sync.Mutex
@@ -44,9 +45,24 @@
 	taskStarts    int               // number of task starts observed on machines
 	submissions   int               // number of jobs created so far; part of the next job's ID
 	deletionsFail bool              // the cloud rejects requests to delete machines
+	rentalsFail   bool              // the cloud rejects requests to rent machines
 	userRequests  sync.WaitGroup    // goroutines that make user requests; not guarded by mu
 }
 
+// clusterOptions are the sizes and limits of a cluster.
+type clusterOptions struct {
+	controllers int
+	maxSockets  int // of each controller
+	state       config.StateLimits
+	enforced    bool // the state service enforces its rates
+	times       config.WorkerTimes
+}
+
+// defaultClusterOptions returns the options of a small cluster with the given worker times.
+func defaultClusterOptions(times config.WorkerTimes) clusterOptions {
+	return clusterOptions{controllers: 3, maxSockets: 500, state: stateLimits, times: times}
+}
+
 // process is a running controller process.
 type process struct {
 	cancel         context.CancelFunc
@@ -88,9 +104,14 @@
 // runScenario starts a cluster in a synctest bubble, which has virtual time, and runs a scenario in it.
 // The test fails with one error for each rule violation.
 func runScenario(t *testing.T, seed uint64, times config.WorkerTimes, scenario func(c *cluster)) {
+	runScenarioOf(t, seed, defaultClusterOptions(times), scenario)
+}
+
+// runScenarioOf is runScenario for a cluster with other options.
+func runScenarioOf(t *testing.T, seed uint64, options clusterOptions, scenario func(c *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		c := newCluster(ctx, t, seed, times)
+		c := newCluster(ctx, t, seed, options)
 		for _, name := range c.nodeNames {
 			c.startController(name)
 		}
@@ -105,7 +126,7 @@
 
 // newCluster returns a cluster in which the stand-ins of the state service and the cloud run, but no
 // controller yet. Everything in the cluster runs until the context ends.
-func newCluster(ctx context.Context, t *testing.T, seed uint64, times config.WorkerTimes) *cluster {
+func newCluster(ctx context.Context, t *testing.T, seed uint64, options clusterOptions) *cluster {
 	c := &cluster{
 		t:            t,
 		random:       rand.New(rand.NewPCG(seed, 11)),
@@ -115,13 +136,17 @@
 		state:        standin.NewStateService(),
 		processes:    map[string]*process{},
 		zones:        []string{"a", "b", "c"},
-		times:        times,
+		options:      options,
+		times:        options.times,
 		log:          slog.New(slog.NewTextHandler(logOutput(), &slog.HandlerOptions{Level: slog.LevelDebug})),
 		jobs:         map[string]*job{},
 		runningTasks: map[string]string{},
 	}
+	if options.enforced {
+		c.state.SetRates(options.state.RPS, options.state.WriteRPS)
+	}
 	controllers := map[string]string{}
-	for i := range 3 {
+	for i := range options.controllers {
 		name := fmt.Sprintf("controller-%d", i)
 		c.nodeNames = append(c.nodeNames, name)
 		controllers[name] = name + ":8080"
@@ -132,7 +157,7 @@
 			Name: "c8", CPUs: machineCPUs, MemoryGB: 64, CacheGB: 50, FetchGBPerS: 1,
 			Price: 1, SpotPrice: 0.4, BootS: 4, Zones: c.zones,
 		}},
-		State: c.state, Controllers: controllers, Log: c.log, Network: c.network, WorkerTimes: times,
+		State: c.state, Controllers: controllers, Log: c.log, Network: c.network, WorkerTimes: c.times,
 		JobSpec: c.jobSpec, OnTaskChange: c.onTaskChange, InjectFault: c.cloudFault,
 	})
 	go standin.ServeListener(c.network.Listen("cloud:1"), c.cloud.Server(""))
@@ -176,16 +201,16 @@
 			Zones:          c.zones,
 			Teams:          teams,
 			Workers:        c.times,
-			State:          stateLimits.LowerOfCurrentAndNext(),
+			State:          c.options.state.LowerOfCurrentAndNext(),
 			Cloud:          config.CloudLimits{RPS: 5, ListLagS: 2},
-			MachineLimits:  config.MachineLimits{CoreShare: 0.2, MemoryMB: 100, MaxSockets: 500},
+			MachineLimits:  config.MachineLimits{CoreShare: 0.2, MemoryMB: 100, MaxSockets: c.options.maxSockets},
 			MaxClockSkewMs: 100,
 		},
 	}
 	for i, other := range c.nodeNames {
 		if other != name {
 			settings.Members = append(settings.Members,
-				config.Member{NodeName: other, Zone: c.zones[i], Address: other + ":8081"})
+				config.Member{NodeName: other, Zone: c.zones[i%len(c.zones)], Address: other + ":8081"})
 		}
 	}
 	return settings
--- a/internal/coordination/controller/faults_test.go
+++ b/internal/coordination/controller/faults_test.go
@@ -16,6 +16,9 @@
 	if c.deletionsFail && request.Path == "/rentals/delete" {
 		return http.StatusServiceUnavailable
 	}
+	if c.rentalsFail && request.Path == "/rentals" && request.Method == http.MethodPost {
+		return http.StatusServiceUnavailable
+	}
 	return 0
 }
 
--- a/internal/standin/state_faults.go
+++ b/internal/standin/state_faults.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"quillshunt/internal/protocol"
 	"quillshunt/internal/storage"
 )
@@ -27,6 +29,48 @@
 	return s.oversizedTransactions
 }
 
+// SetRates sets the numbers of requests, and of operations in transactions, that all callers together may
+// send per second. Both limits allow a burst of one second's worth. Zero means no limit.
+func (s *StateService) SetRates(requests, operations float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requestRate, s.operationRate = newRateLimiter(requests), newRateLimiter(operations)
+}
+
+// newRateLimiter returns a limiter of events per second, or nil for 0.
+func newRateLimiter(perSecond float64) *rate.Limiter {
+	if perSecond == 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+}
+
+// isWithinRequestRate counts a request. It returns false if the request exceeds the rate.
+func (s *StateService) isWithinRequestRate() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests++
+	if s.requestRate == nil || s.requestRate.Allow() {
+		return true
+	}
+	s.rateLimitedRequests++
+	return false
+}
+
+// isWithinOperationRate counts the operations of a transaction. It returns false if they exceed the rate.
+func (s *StateService) isWithinOperationRate(operations int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.operationRate == nil || s.operationRate.AllowN(time.Now(), operations)
+}
+
+// RequestCounts returns how many requests have arrived, and how many of them exceeded the request rate.
+func (s *StateService) RequestCounts() (all, rateLimited int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests, s.rateLimitedRequests
+}
+
 // SetUnavailable starts or ends an outage, during which the servers reject the requests of all callers. No
 // lease expires during an outage, and all leases get their full duration again when it ends.
 func (s *StateService) SetUnavailable(unavailable bool) {
--- a/internal/standin/state_http.go
+++ b/internal/standin/state_http.go
@@ -45,6 +45,10 @@
 		rsp.Respond(http.StatusServiceUnavailable, nil, 0)
 		return
 	}
+	if !s.isWithinRequestRate() {
+		rsp.Respond(http.StatusTooManyRequests, nil, 0)
+		return
+	}
 	query, err := url.ParseQuery(req.Query)
 	if err != nil {
 		rsp.Respond(http.StatusBadRequest, nil, 0)
@@ -93,6 +97,10 @@
 		rsp.Respond(http.StatusBadRequest, nil, 0)
 		return
 	}
+	if !s.isWithinOperationRate(len(t.Operations)) {
+		rsp.Respond(http.StatusTooManyRequests, nil, 0)
+		return
+	}
 	if delay, delayed := s.transactionDelay(); delayed {
 		time.AfterFunc(delay, func() {
 			s.CompareAndSwap(t)
--- a/internal/standin/state_service.go
+++ b/internal/standin/state_service.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"quillshunt/internal/protocol"
 )
 
@@ -27,7 +29,11 @@
 	rejectedCallers       map[string]bool
 	delayTransaction      func() (time.Duration, bool)
 	limits                StateLimits
-	oversizedTransactions int // number of transactions that exceeded the limits
+	requestRate           *rate.Limiter // nil: unlimited
+	operationRate         *rate.Limiter // of operations in transactions; nil: unlimited
+	requests              int           // number of requests that have arrived
+	rateLimitedRequests   int           // number of requests that exceeded requestRate
+	oversizedTransactions int           // number of transactions that exceeded the limits
 }
 
 // lease is the state of one lease. The keys attached to it are deleted when it expires or is revoked.
