Read jobs for many questions at once, oldest first, within a fixed share

Users saw: after an outage in which all controllers restarted, polls of accepted jobs got 503 for minutes, though everything was up again.

Cause: the state service's requests are a bounded resource that was shared without fairness. Each poll made one to four reads of its own. Each controller could use half of the service's rate, five of them 2.5 times all of it, so most requests got 429, those of the election and of a new leader too. Which question got its reads was chance, and a job that is done or cancelled needed two to four in a row. Who got 503 asked again a second later.

Change: all reads for users go through storage.BatchReader. It has a fixed part of the rate (0.4 over all controllers), shares a read among all callers that waited before it was sent, reads a page where many keys wait, and serves the job first whose users have asked longest. Polls have their own slots. A job whose questions stay unanswered for 60 s while the state service is reachable is an ERROR line and a counter.

Users ask every 5 s.

--- a/internal/coordination/controller/answers_test.go
+++ b/internal/coordination/controller/answers_test.go
@@ -114,7 +114,7 @@
 	count := func(perThousand float64) int { return max(1, int(perThousand*thousands)) }
 	names := c.random.Perm(1_000_000)
 	next := func() string {
-		id := fmt.Sprintf("job-%06d", names[0])
+		id := fmt.Sprintf("job-1%06d", names[0]) // not among those of cluster.submit
 		names = names[1:]
 		return id
 	}
@@ -293,19 +293,24 @@
 	t.Helper()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	forgotten, longest, longestID := 0, time.Duration(0), ""
-	for id, gap := range q.unanswered {
-		if gap > maxUnanswered {
-			forgotten++
-		}
-		if gap > longest {
-			longest, longestID = gap, id
+	forgotten, longest := 0, time.Duration(0)
+	for _, kind := range []struct {
+		name string
+		ids  []string
+	}{{"open", q.open}, {"done", q.done}, {"cancelled", q.cancel}} {
+		longestOfKind := time.Duration(0)
+		for _, id := range kind.ids {
+			if q.unanswered[id] > maxUnanswered {
+				forgotten++
+			}
+			longestOfKind = max(longestOfKind, q.unanswered[id])
 		}
+		t.Logf("%d %s jobs: longest time without an answer %v", len(kind.ids), kind.name, longestOfKind)
+		longest = max(longest, longestOfKind)
 	}
 	all, limited := q.cluster.state.RequestCounts()
-	t.Logf("%d accepted jobs; longest time without an answer %v (%s); %d answers, %d failures; "+
-		"state service: %d requests, %d of them above its rate",
-		len(q.unanswered), longest, longestID, q.answers, q.failures, all, limited)
+	t.Logf("%d answers, %d failures; state service: %d requests, %d of them above its rate",
+		q.answers, q.failures, all, limited)
 	if forgotten > 0 {
 		t.Errorf("%d of %d accepted jobs were without an answer for more than %v, the longest for %v",
 			forgotten, len(q.unanswered), maxUnanswered, longest)
--- a/internal/coordination/controller/controller.go
+++ b/internal/coordination/controller/controller.go
@@ -90,10 +90,12 @@
 		Node:       c.settings.NodeName,
 		Settings:   c.settings,
 		Store:      c.store.ForUserRequests(),
+		Reader:     c.store.NewBatchReader(len(c.settings.Members) + 1),
 		Dispatcher: c.dispatcher,
 		Peers:      c.peers,
 		LeaderName: c.elector.Leader,
 		UserSlots:  shares.UserSlots,
+		PollSlots:  shares.MaxInboundConns, // each connection has at most one request in progress
 		Metrics:    c.metrics,
 		Log:        c.log,
 	})
--- a/internal/coordination/gateway/cancellations.go
+++ b/internal/coordination/gateway/cancellations.go
@@ -35,7 +35,7 @@
 // tryCancel reads a job's open record and marks the job as cancelled. It returns false if the record was
 // changed between the read and the write, or if it is unknown whether the write was executed.
 func (g *Gateway) tryCancel(ctx context.Context, id string) (response, bool) {
-	open, err := g.store.Get(ctx, storage.OpenJobKey(id))
+	open, err := g.read(ctx, id, storage.OpenJobKey(id))
 	if err != nil {
 		return g.retryLaterResponse(err), true
 	}
@@ -106,17 +106,17 @@
 func (g *Gateway) confirmCancellation(ctx context.Context, id string, open protocol.KeyValue) bool {
 	confirmed := g.dispatcher.ConfirmCancellation(ctx, id, open.Version, open.Value) ||
 		g.peers.ConfirmCancellation(ctx, g.leaderName(), id, open.Version, open.Value) ||
-		g.hasLeaderObservedRevision(ctx, open.Version)
+		g.hasLeaderObservedRevision(ctx, id, open.Version)
 	if confirmed {
 		g.finalStates.put(id, protocol.JobCancelled) // later leaders cannot change it
 	}
 	return confirmed
 }
 
-// hasLeaderObservedRevision reports whether the leader has observed a revision according to its heartbeat
-// record, or there is no leader key. It returns false if a record cannot be read.
-func (g *Gateway) hasLeaderObservedRevision(ctx context.Context, revision uint64) bool {
-	stored, err := g.store.Get(ctx, storage.KeyLeaderHeartbeat)
+// hasLeaderObservedRevision reports whether the leader has observed a revision of a job's record according to
+// its heartbeat record, or there is no leader key. It returns false if a record cannot be read.
+func (g *Gateway) hasLeaderObservedRevision(ctx context.Context, id string, revision uint64) bool {
+	stored, err := g.read(ctx, id, storage.KeyLeaderHeartbeat)
 	if err != nil {
 		return false
 	}
@@ -126,6 +126,6 @@
 			return true
 		}
 	}
-	leaderKey, err := g.store.Get(ctx, storage.KeyLeader)
+	leaderKey, err := g.read(ctx, id, storage.KeyLeader)
 	return err == nil && leaderKey.Version == 0
 }
--- a/internal/coordination/gateway/fixture_test.go
+++ b/internal/coordination/gateway/fixture_test.go
@@ -26,6 +26,7 @@
 type gatewayFixture struct {
 	t       *testing.T
 	state   *standin.StateService
+	gateway *Gateway
 	address string
 	client  *transport.Client
 }
@@ -53,14 +54,17 @@
 		Node:     testNode,
 		Settings: settings,
 		Store:    store,
+		Reader:   store.NewBatchReader(1),
 		Dispatcher: leader.NewDispatcher(leader.DispatcherOptions{
 			Settings: settings, Options: config.DefaultOptions(), Store: store, Log: log,
 		}),
 		Peers:      noPeers(t),
 		LeaderName: func() string { return "" },
 		UserSlots:  limits.UserSlots,
+		PollSlots:  limits.UserSlots,
 		Log:        log,
 	})
+	f.gateway = g
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	g.Start(ctx)
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -22,10 +22,12 @@
 	Node       string // name of this controller
 	Settings   *config.Settings
 	Store      *storage.Store // the one for users' requests, see storage.Store.ForUserRequests
+	Reader     *storage.BatchReader
 	Dispatcher *leader.Dispatcher
 	Peers      *peer.Peers
 	LeaderName func() string    // returns the name of the leading controller, or "" if none is known
-	UserSlots  int              // maximum number of user requests handled at once
+	UserSlots  int              // maximum number of submissions and cancellations handled at once
+	PollSlots  int              // maximum number of polls handled at once
 	Metrics    *metrics.Metrics // or nil
 	Log        *slog.Logger
 }
@@ -37,6 +39,7 @@
 	node       string
 	settings   *config.Settings
 	store      *storage.Store
+	reader     *storage.BatchReader // for all reads of jobs, which take turns by age
 	dispatcher *leader.Dispatcher
 	peers      *peer.Peers
 	leaderName func() string
@@ -46,7 +49,10 @@
 
 	ctx context.Context // ends all work on requests; set by Start, because Handle has no context
 
-	userSlots    chan struct{}                          // semaphore for user requests in progress
+	userSlots    chan struct{} // semaphore for submissions and cancellations in progress
+	pollSlots    chan struct{} // semaphore for polls in progress
+	countSlots   chan struct{} // semaphore for requests of task counts in progress
+	questions    *questionAges
 	machineTypes atomic.Pointer[[]protocol.MachineType] // nil until they have been read
 	finalStates  *finalStateCache
 
@@ -63,21 +69,26 @@
 		node:        o.Node,
 		settings:    o.Settings,
 		store:       o.Store,
+		reader:      o.Reader,
 		dispatcher:  o.Dispatcher,
 		peers:       o.Peers,
 		leaderName:  o.LeaderName,
 		metrics:     o.Metrics,
 		log:         o.Log,
 		userSlots:   make(chan struct{}, o.UserSlots),
+		pollSlots:   make(chan struct{}, o.PollSlots),
+		countSlots:  make(chan struct{}, o.UserSlots),
+		questions:   newQuestionAges(),
 		relaySlots:  make(chan struct{}, limits.RelaySlots),
 		finalStates: newFinalStateCache(),
 	}
 }
 
-// Start starts the periodic refresh of the machine types and the periodic log entries. All work of the
-// Gateway ends with the context.
+// Start starts the reads of jobs, the periodic refresh of the machine types and the periodic log entries. All
+// work of the Gateway ends with the context.
 func (g *Gateway) Start(ctx context.Context) {
 	g.ctx = ctx
+	go g.reader.Run(ctx)
 	go g.logSummaries(ctx)
 	go g.refreshMachineTypes(ctx)
 }
--- a/internal/coordination/gateway/job_status.go
+++ b/internal/coordination/gateway/job_status.go
@@ -4,15 +4,43 @@
 	"context"
 	"fmt"
 	"net/http"
+	"time"
 
 	"quillshunt/internal/coordination/peer"
+	"quillshunt/internal/metrics"
 	"quillshunt/internal/protocol"
 	"quillshunt/internal/storage"
 )
 
-// getJob handles a poll of a job's status. For an open job the response includes the numbers of done and
+// read reads a record of a job, or one on which the answer about the job depends. The job about which users
+// have asked longest without an answer goes first.
+func (g *Gateway) read(ctx context.Context, id, key string) (protocol.KeyValue, error) {
+	return g.reader.Get(ctx, key, g.questions.since(id, time.Now()))
+}
+
+// recordUnanswered records that a question about a job, which arrived at a time, was not answered.
+func (g *Gateway) recordUnanswered(id string, arrivedAt time.Time, outcome metrics.Outcome) {
+	since, report := g.questions.recordFailure(id, arrivedAt, g.store.ReachableSince())
+	if report {
+		g.metrics.CountViolation(metrics.InvariantAnswerAge)
+		g.log.Error("questions about a job are not answered", "job", id, "since", since, "reason", outcome)
+	}
+}
+
+// getJob handles a poll of a job's status, which arrived at a time, and records whether it was answered.
+func (g *Gateway) getJob(ctx context.Context, id string, arrivedAt time.Time) response {
+	answer := g.answerPoll(ctx, id)
+	if answer.status == http.StatusServiceUnavailable {
+		g.recordUnanswered(id, arrivedAt, answer.outcome)
+	} else {
+		g.questions.recordAnswer(id)
+	}
+	return answer
+}
+
+// answerPoll answers a poll of a job's status. For an open job the response includes the numbers of done and
 // running tasks, if the leader replies in time.
-func (g *Gateway) getJob(ctx context.Context, id string) response {
+func (g *Gateway) answerPoll(ctx context.Context, id string) response {
 	if !protocol.IsValidJobID(id) {
 		return jobNotFoundResponse()
 	}
@@ -38,8 +66,14 @@
 }
 
 // taskCounts asks the leader for the numbers of done and running tasks of a job. It returns false if the
-// leader does not reply or does not know the job.
+// leader does not reply or does not know the job, or if too many such requests are in progress.
 func (g *Gateway) taskCounts(ctx context.Context, id string) (peer.TaskCounts, bool) {
+	select {
+	case g.countSlots <- struct{}{}:
+		defer func() { <-g.countSlots }()
+	default:
+		return peer.TaskCounts{}, false
+	}
 	if g.dispatcher.IsLeader() {
 		return g.dispatcher.TaskCounts(ctx, id)
 	}
@@ -60,14 +94,14 @@
 	if status, ok := g.cachedFinalStatus(id); ok {
 		return status, true, nil
 	}
-	open, err := g.store.Get(ctx, storage.OpenJobKey(id))
+	open, err := g.read(ctx, id, storage.OpenJobKey(id))
 	if err != nil {
 		return status, false, fmt.Errorf("read open record of %s: %w", id, err)
 	}
 	if open.Version != 0 {
 		return g.openJobStatus(ctx, id, open)
 	}
-	final, err := g.store.Get(ctx, storage.FinalJobKey(id))
+	final, err := g.read(ctx, id, storage.FinalJobKey(id))
 	if err != nil {
 		return status, false, fmt.Errorf("read final record of %s: %w", id, err)
 	}
--- a/internal/coordination/gateway/load_fixture_test.go
+++ b/internal/coordination/gateway/load_fixture_test.go
@@ -163,10 +163,12 @@
 		Node:       testNode,
 		Settings:   f.settings,
 		Store:      store.ForUserRequests(),
+		Reader:     store.NewBatchReader(1),
 		Dispatcher: f.dispatcher,
 		Peers:      noPeers(f.t),
 		LeaderName: func() string { return "" },
 		UserSlots:  f.socketShares.UserSlots,
+		PollSlots:  f.socketShares.MaxInboundConns,
 		Log:        log,
 	})
 	g.Start(f.ctx)
--- a/internal/coordination/gateway/request_summary.go
+++ b/internal/coordination/gateway/request_summary.go
@@ -63,6 +63,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			g.questions.forgetOld(time.Now())
 			counts, longest := g.summary.take()
 			if len(counts) == 0 {
 				continue
--- a/internal/coordination/gateway/users.go
+++ b/internal/coordination/gateway/users.go
@@ -23,25 +23,29 @@
 		rsp.Respond(http.StatusMethodNotAllowed, nil, 0)
 		return
 	}
+	slots := g.userSlots
+	if route.action == actionStatus {
+		slots = g.pollSlots
+	}
+	arrivedAt := time.Now()
 	select {
-	case g.userSlots <- struct{}{}:
-		arrivedAt := time.Now()
+	case slots <- struct{}{}:
 		go func() {
-			defer func() { <-g.userSlots }()
-			response := g.serveUserRequest(route, req.Body, rsp)
+			defer func() { <-slots }()
+			response := g.serveUserRequest(route, req.Body, arrivedAt, rsp)
 			duration := time.Since(arrivedAt)
 			g.countRequest(metricActions[route.action], response.outcome, duration)
 			g.log.Debug("user request handled", "path", req.Path, "status", response.status,
 				"reason", response.outcome, "duration", duration)
 		}()
 	default:
-		g.rejectUserRequest(route, req.Body, rsp)
+		g.rejectUserRequest(route, req.Body, arrivedAt, rsp)
 	}
 }
 
 // rejectUserRequest responds to a user request for which there is no free slot. It asks the user to retry,
 // unless the request can never succeed.
-func (g *Gateway) rejectUserRequest(route userRoute, body []byte, rsp *transport.Responder) {
+func (g *Gateway) rejectUserRequest(route userRoute, body []byte, arrivedAt time.Time, rsp *transport.Responder) {
 	switch {
 	case route.action != actionSubmit && !protocol.IsValidJobID(route.jobID):
 		rsp.Respond(http.StatusNotFound, nil, 0)
@@ -50,12 +54,17 @@
 	default:
 		rsp.Respond(http.StatusServiceUnavailable, nil, limits.MinRetryAfterSeconds)
 		g.countRequest(metricActions[route.action], metrics.OutcomeNoSlot, 0)
+		if route.action == actionStatus {
+			g.recordUnanswered(route.jobID, arrivedAt, metrics.OutcomeNoSlot)
+		}
 	}
 }
 
 // serveUserRequest executes a user request, sends the response and returns it.
-func (g *Gateway) serveUserRequest(route userRoute, body []byte, rsp *transport.Responder) response {
-	response := g.executeUserAction(route, body)
+func (g *Gateway) serveUserRequest(
+	route userRoute, body []byte, arrivedAt time.Time, rsp *transport.Responder,
+) response {
+	response := g.executeUserAction(route, body, arrivedAt)
 	retryAfter := 0
 	if response.status == http.StatusServiceUnavailable {
 		failingFor := g.store.FailingFor()
@@ -72,7 +81,7 @@
 }
 
 // executeUserAction executes the action that a user requests, within the time limit of the action.
-func (g *Gateway) executeUserAction(route userRoute, body []byte) response {
+func (g *Gateway) executeUserAction(route userRoute, body []byte, arrivedAt time.Time) response {
 	timeout := limits.SubmitTimeout
 	if route.action == actionStatus {
 		timeout = limits.PollTimeout
@@ -85,6 +94,6 @@
 	case actionCancel:
 		return g.cancelJob(ctx, route.jobID)
 	default:
-		return g.getJob(ctx, route.jobID)
+		return g.getJob(ctx, route.jobID, arrivedAt)
 	}
 }
--- a/internal/limits/gateway.go
+++ b/internal/limits/gateway.go
@@ -16,6 +16,14 @@
 	// cancellation. The request is sent directly and, if the leader does not confirm, again through the
 	// other controllers. Both attempts together fit into SubmitTimeout.
 	CancelConfirmTimeout = 600 * time.Millisecond
+	// MaxUnansweredAge is how long users may ask about a job without an answer while the state service is
+	// reachable. The users' own bound, after which the job counts as forgotten, is 75 s.
+	MaxUnansweredAge = 60 * time.Second
+	// MaxQuestionGap is the time between two questions about a job after which they are not considered
+	// together. Users ask every 5 s, and those who are asked to retry come back within MaxRetryAfterSeconds.
+	MaxQuestionGap = 15 * time.Second
+	// MaxQuestionAges is the number of jobs of which a controller records the age of unanswered questions.
+	MaxQuestionAges = 1 << 16
 	// FinalStateCacheSize is the number of jobs whose final states a controller caches, so that polls of
 	// finished jobs do not cause reads from the state service.
 	FinalStateCacheSize = 4096
--- a/internal/limits/state.go
+++ b/internal/limits/state.go
@@ -47,6 +47,21 @@
 	// theirs while many machines boot.
 	ControllerReadShare  = 0.5
 	ControllerWriteShare = 0.7
+	// BatchReadShare is the share of the request rate for the reads of user requests, over all controllers,
+	// each of which may use an equal part. Together with the requests that UserWriteShare allows, it leaves
+	// ControllerReadShare to the controllers' own work.
+	BatchReadShare = 0.4
+	// MaxConcurrentBatchReads is the number of reads of user requests that a controller makes at the same
+	// time, so that a slow reply does not hold up the others.
+	MaxConcurrentBatchReads = 4
+	// MinPageReads is the least number of waiting keys for which a page is read instead of single keys.
+	MinPageReads = 2
+	// MaxBatchReadAge is the wait from which the key that has waited longest is read before all others.
+	MaxBatchReadAge = time.Second
+	// BatchPageSize is the number of keys requested per page that is read for user requests.
+	BatchPageSize = 500
+	// BatchReadRetryDelay is the pause after a read that exceeded the state service's rate.
+	BatchReadRetryDelay = 100 * time.Millisecond
 	// UserRateLimitWait is how long a user request may wait for the rate limit. It is about as long as an
 	// occasional slow reply of the state service takes.
 	UserRateLimitWait = 100 * time.Millisecond
--- a/internal/storage/health.go
+++ b/internal/storage/health.go
@@ -12,6 +12,7 @@
 // serviceHealth records the outcomes of calls to the service. Times are Unix nanoseconds.
 type serviceHealth struct {
 	failingSince    atomic.Int64 // start of the first failed call since the last success; 0 if the last call succeeded
+	recoveredAt     atomic.Int64 // when a call succeeded after the last failed ones; 0 if none has failed yet
 	lastCallAt      atomic.Int64 // start of the last call
 	writeOperations atomic.Int64 // operations sent in transactions
 	rejectedCalls   atomic.Int64 // calls that the service rejected with 429 or 503
@@ -31,13 +32,28 @@
 		h.failingSince.CompareAndSwap(0, startedAt.UnixNano())
 		h.rejectedCalls.Add(1)
 	case http.StatusTooManyRequests:
-		h.failingSince.Store(0)
+		h.recordSuccess()
 		h.rejectedCalls.Add(1)
 	default:
-		h.failingSince.Store(0)
+		h.recordSuccess()
 	}
 }
 
+func (h *serviceHealth) recordSuccess() {
+	if h.failingSince.Swap(0) != 0 {
+		h.recoveredAt.Store(time.Now().UnixNano())
+	}
+}
+
+// ReachableSince returns since when no call has failed, or the present time if the last call failed. It is the
+// Unix epoch if no call has failed yet.
+func (s *Store) ReachableSince() time.Time {
+	if s.health.failingSince.Load() != 0 {
+		return time.Now()
+	}
+	return time.Unix(0, s.health.recoveredAt.Load())
+}
+
 // FailingFor returns for how long no call has succeeded, or 0 if the last call succeeded.
 func (s *Store) FailingFor() time.Duration {
 	if since := s.health.failingSince.Load(); since != 0 {
--- a/internal/storage/read.go
+++ b/internal/storage/read.go
@@ -22,10 +22,15 @@
 }
 
 func (s *Store) get(ctx context.Context, key string) (protocol.KeyValue, error) {
-	var kv protocol.KeyValue
 	if err := s.waitForRateLimit(ctx, 0); err != nil {
-		return kv, err
+		return protocol.KeyValue{}, err
 	}
+	return s.getNow(ctx, key)
+}
+
+// getNow reads a key without regard to the rate limits.
+func (s *Store) getNow(ctx context.Context, key string) (protocol.KeyValue, error) {
+	var kv protocol.KeyValue
 	reply, err := s.call(ctx, http.MethodGet, "/kv/"+key, nil)
 	if err != nil {
 		return kv, err
@@ -71,11 +76,16 @@
 // listPage reads one page of the keys with a prefix. The page starts after the given key, or with the
 // first key if that is empty.
 func (s *Store) listPage(ctx context.Context, prefix, after string) (protocol.KeyPage, error) {
-	var page protocol.KeyPage
 	if err := s.waitForRateLimit(ctx, 0); err != nil {
-		return page, err
+		return protocol.KeyPage{}, err
 	}
-	target := "/kv?Starts=" + url.QueryEscape(prefix) + "&Limit=" + strconv.Itoa(limits.StatePageSize)
+	return s.listPageNow(ctx, prefix, after, limits.StatePageSize)
+}
+
+// listPageNow reads a page of at most the given number of keys without regard to the rate limits.
+func (s *Store) listPageNow(ctx context.Context, prefix, after string, size int) (protocol.KeyPage, error) {
+	var page protocol.KeyPage
+	target := "/kv?Starts=" + url.QueryEscape(prefix) + "&Limit=" + strconv.Itoa(size)
 	if after != "" {
 		target += "&Since=" + url.QueryEscape(after)
 	}
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -39,6 +39,7 @@
 const (
 	shareControllers = "controllers"
 	shareUsers       = "users"
+	shareReads       = "reads"
 )
 
 // New returns a Store for the controllers' own work. Its share of the rate limits is not divided among
