Soak the built program on the loopback under random faults

Processes of the built program, with stand-ins of workers, users, cloud and state service, under seeded schedules in which three faults overlap nearly all the time: kills (one, all, in series), pauses, cuts one way and both, delays, refusals of one controller and of all, late writes, lost replies, late heartbeats, hanging and lost machines. Users submit, ask, repeat and cancel at all nodes throughout.

--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,292 @@
+// Package soak tests the built program: processes on the loopback interface under random faults that overlap,
+// with users at all of them. The rules of the protocol are checked from outside, on what the users and the
+// stand-ins of workers, cloud and state service observe.
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"quillshunt/internal/protocol"
+)
+
+// Variables that choose the runs. Without them a few short ones are made.
+const (
+	seedsVariable    = "QUILLSHUNT_SOAK_SEEDS"    // such as 1-50
+	secondsVariable  = "QUILLSHUNT_SOAK_SECONDS"  // time in which faults begin
+	scheduleVariable = "QUILLSHUNT_SOAK_SCHEDULE" // file of a failed run, to be played again
+	directoryVar     = "QUILLSHUNT_SOAK_DIR"      // folder for the files of failed runs
+	binaryVariable   = "QUILLSHUNT_SOAK_BINARY"   // program to be tested instead of the one built from here
+)
+
+const (
+	defaultSeeds   = "1-2"
+	defaultSeconds = 22
+	warmUp         = 4 * time.Second // before the first fault
+	// largeEvery is how many seeds there are for one run with a large fleet.
+	largeEvery = 5
+	// longestTask is the longest run time of a task, to which maxWaiting is added for a job to be done.
+	longestTask = 30 * time.Second
+	// machineReturn is the time in which machines without work are returned.
+	machineReturn = 45 * time.Second
+)
+
+// size is the size of a run and the limits of its state service.
+type size struct {
+	controllers   int
+	jobInterval   time.Duration
+	firstJobs     int // submitted at the start
+	stateRPS      float64
+	stateWriteRPS float64
+}
+
+// sizeOf returns the size of the run with a seed: a small or a large one, in which reads are scarce.
+func sizeOf(seed uint64) size {
+	if seed%largeEvery == 0 {
+		return size{
+			controllers: 5, jobInterval: 120 * time.Millisecond, firstJobs: 300, stateRPS: 150, stateWriteRPS: 40,
+		}
+	}
+	return size{controllers: 3, jobInterval: 700 * time.Millisecond, firstJobs: 5, stateRPS: 80, stateWriteRPS: 25}
+}
+
+// TestSoak runs the program under random faults, and checks all rules from outside.
+func TestSoak(t *testing.T) {
+	binary := findBinary(t)
+	for _, s := range schedules(t) {
+		t.Run(fmt.Sprintf("seed %d", s.Seed), func(t *testing.T) {
+			t.Parallel()
+			soak(t, binary, s)
+		})
+	}
+}
+
+// findBinary returns the path of the program, which it builds unless one is named.
+func findBinary(t *testing.T) string {
+	t.Helper()
+	if binary := os.Getenv(binaryVariable); binary != "" {
+		if _, err := os.Stat(binary); err != nil {
+			t.Fatalf("%s: %v", binaryVariable, err)
+		}
+		return binary
+	}
+	binary := filepath.Join(t.TempDir(), "quillshunt")
+	build := exec.Command("go", "build", "-o", binary, "quillshunt/cmd/quillshunt")
+	if output, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build the program: %v: %s", err, output)
+	}
+	return binary
+}
+
+// schedules returns the schedules of all runs.
+func schedules(t *testing.T) []schedule {
+	t.Helper()
+	if path := os.Getenv(scheduleVariable); path != "" {
+		encoded, err := os.ReadFile(path)
+		var s schedule
+		if err == nil {
+			err = json.Unmarshal(encoded, &s)
+		}
+		if err != nil {
+			t.Fatalf("%s: %v", scheduleVariable, err)
+		}
+		return []schedule{s}
+	}
+	seconds := number(t, secondsVariable, defaultSeconds)
+	seeds := os.Getenv(seedsVariable)
+	if seeds == "" {
+		seeds = defaultSeeds
+	}
+	first, last, isRange := strings.Cut(seeds, "-")
+	if !isRange {
+		last = first
+	}
+	from, err1 := strconv.ParseUint(first, 10, 32)
+	to, err2 := strconv.ParseUint(last, 10, 32)
+	if err1 != nil || err2 != nil || from > to {
+		t.Fatalf("%s=%s: must be a number or a range such as 1-50", seedsVariable, seeds)
+	}
+	var all []schedule
+	for seed := from; seed <= to; seed++ {
+		all = append(all, newSchedule(seed, seconds, sizeOf(seed).controllers))
+	}
+	return all
+}
+
+// number returns the positive number in a variable, or the default if it is not set.
+func number(t *testing.T, variable string, byDefault int) int {
+	t.Helper()
+	text := os.Getenv(variable)
+	if text == "" {
+		return byDefault
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 1 {
+		t.Fatalf("%s=%s: must be a positive number", variable, text)
+	}
+	return n
+}
+
+// soak makes one run. If it breaks a rule, its files are kept.
+func soak(t *testing.T, binary string, s schedule) {
+	directory, err := os.MkdirTemp(os.Getenv(directoryVar), fmt.Sprintf("soak-%d-", s.Seed))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if !t.Failed() {
+			_ = os.RemoveAll(directory)
+		}
+	})
+	writeJSON(t, filepath.Join(directory, "schedule.json"), s)
+	size := sizeOf(s.Seed)
+	d := newDeployment(t, binary, directory, size)
+	h := d.run(s, size)
+
+	found := h.violations(time.Duration(workerTimes.CancelWithinS * float64(time.Second)))
+	t.Logf("seed %d: %d jobs, %d answers, %d task starts, %d faults, %d machines; longest time without an answer "+
+		"after all faults %v; %d violations", s.Seed, len(h.Submitted), len(h.Answers), len(h.TaskChanges)/2,
+		len(s.Faults), h.machines(), h.longestUnanswered(), len(found))
+	if len(h.TaskChanges) == 0 || len(h.Answers) == 0 {
+		t.Error("nothing ran: the run has tested nothing")
+	}
+	for i, violation := range found {
+		if i == 20 {
+			break
+		}
+		t.Error(violation)
+	}
+	if t.Failed() {
+		writeJSON(t, filepath.Join(directory, "history.json"), h)
+		t.Logf("logs, records and schedule are in %s; play it again with\n%s=%s go test -run TestSoak ./internal/soak",
+			directory, scheduleVariable, filepath.Join(directory, "schedule.json"))
+	}
+}
+
+// run plays a schedule with users, and lets the deployment settle. It returns what was observed.
+func (d *deployment) run(s schedule, size size) *history {
+	ctx, stop := context.WithCancel(d.ctx)
+	defer stop()
+	u := &users{d: d, ctx: ctx, random: rand.New(rand.NewPCG(s.Seed, 1))}
+	submitting, stopSubmitting := context.WithCancel(ctx)
+	submitted := make(chan struct{})
+	go func() {
+		defer close(submitted)
+		for range size.firstJobs {
+			u.startUser()
+		}
+		u.submitJobs(submitting, size.jobInterval)
+	}()
+	go d.sampleUntil(ctx)
+
+	d.playFaults(s)
+	healedAt := d.since()
+	stopSubmitting()
+	<-submitted
+	unfinished := d.settle(maxWaiting + longestTask)
+	left := d.waitForReturns(machineReturn)
+	stop()
+	u.group.Wait()
+
+	d.recorder.mu.Lock()
+	defer d.recorder.mu.Unlock()
+	h := &d.recorder.history
+	h.HealedAt, h.EndedAt = healedAt, d.since()
+	h.Unfinished, h.LeftMachines = unfinished, left
+	h.ErrorLines = d.errorLines()
+	return h
+}
+
+// settle waits until all accepted jobs are done or cancelled, as their users have been told. It returns those
+// that are not in time. Users who have cancelled or not submitted their job in time need no answer.
+func (d *deployment) settle(within time.Duration) []string {
+	for deadline := time.Now().Add(within); ; {
+		unfinished := d.recorder.unfinishedJobs()
+		if len(unfinished) == 0 || time.Now().After(deadline) {
+			return unfinished
+		}
+		sleep(d.ctx, time.Second/4)
+	}
+}
+
+// waitForReturns waits until all machines have been returned. It returns those that have not in time.
+func (d *deployment) waitForReturns(within time.Duration) []string {
+	for deadline := time.Now().Add(within); ; {
+		left := d.cloud.MachineNames()
+		if len(left) == 0 || time.Now().After(deadline) {
+			return left
+		}
+		sleep(d.ctx, time.Second/4)
+	}
+}
+
+// unfinishedJobs returns the accepted jobs of which no user has been told that they have ended.
+func (r *recorder) unfinishedJobs() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	accepted := map[string]bool{}
+	for _, a := range r.history.Answers {
+		if a.isAnswer() && a.State != protocol.JobDone && a.State != protocol.JobCancelled {
+			accepted[a.Job] = true
+		}
+	}
+	var unfinished []string
+	for job := range accepted {
+		if r.ended[job] == "" {
+			unfinished = append(unfinished, job)
+		}
+	}
+	return unfinished
+}
+
+// machines returns how many machines have executed commands.
+func (h *history) machines() int {
+	names := map[string]bool{}
+	for _, e := range h.Executions {
+		names[e.Machine] = true
+	}
+	return len(names)
+}
+
+// longestUnanswered returns the longest time between two answers about an accepted job after the end of all
+// faults.
+func (h *history) longestUnanswered() time.Duration {
+	longest := time.Duration(0)
+	for _, answers := range h.answersByJob() {
+		accepted, last := false, h.HealedAt
+		for _, a := range answers {
+			if !a.isAnswer() {
+				continue
+			}
+			if accepted && a.ReceivedAt > last {
+				longest = max(longest, a.ReceivedAt-last)
+			}
+			accepted, last = true, max(last, a.ReceivedAt)
+			if a.isFinal() {
+				break
+			}
+		}
+	}
+	return longest
+}
+
+// writeJSON writes a value to a file.
+func writeJSON(t *testing.T, path string, value any) {
+	t.Helper()
+	encoded, err := json.MarshalIndent(value, "", " ")
+	if err == nil {
+		err = os.WriteFile(path, encoded, 0o644)
+	}
+	if err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/soak/users_test.go
@@ -0,0 +1,209 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"quillshunt/internal/limits"
+	"quillshunt/internal/protocol"
+	"quillshunt/internal/transport"
+)
+
+// Times of the users, from the protocol.
+const (
+	submitTimeout = 5 * time.Second
+	submitFor     = 60 * time.Second
+	pollTimeout   = 2 * time.Second
+)
+
+// users submit jobs, ask about them and cancel some, at all controllers.
+type users struct {
+	d      *deployment
+	group  sync.WaitGroup
+	ctx    context.Context // ends all users
+	random *rand.Rand      // used by the goroutine that starts users only
+	jobs   int
+}
+
+// submitJobs starts users who submit jobs until the context ends, at random times with the given mean interval.
+func (u *users) submitJobs(submitting context.Context, interval time.Duration) {
+	for submitting.Err() == nil {
+		u.startUser()
+		if !sleep(submitting, time.Duration(u.random.ExpFloat64()*float64(interval))) {
+			return
+		}
+	}
+}
+
+// startUser starts the user of a new job.
+func (u *users) startUser() {
+	u.jobs++
+	spec := protocol.Spec{
+		ID: fmt.Sprintf("job-%06d", u.random.IntN(900_000)*1000+u.jobs), Class: "x", Team: team.Name,
+		Shape: protocol.ShapeArray, Priority: []string{"low", "standard", "high"}[u.random.IntN(3)],
+		Tasks: 1 + u.random.IntN(4), CPUs: 1, MemoryGB: 1, Spot: true, Image: "i",
+		EstimateS: 1 + 8*u.random.Float64(),
+	}
+	if u.random.IntN(10) == 0 {
+		spec.EstimateS = 30 // runs through a change of leader
+	}
+	user := &user{users: u, spec: spec, random: rand.New(rand.NewPCG(u.random.Uint64(), 3))}
+	u.group.Go(user.run)
+}
+
+// user is the user of one job.
+type user struct {
+	users  *users
+	spec   protocol.Spec
+	random *rand.Rand
+}
+
+// run submits the job, asks about it until it has ended, and cancels it perhaps.
+func (u *user) run() {
+	u.users.d.recorder.addJob(u.spec)
+	if !u.submit() {
+		return
+	}
+	u.askAll()
+	cancelAt := time.Duration(-1)
+	if u.random.IntN(4) == 0 {
+		cancelAt = u.users.d.since() + time.Duration(u.random.Int64N(int64(12*time.Second)))
+	}
+	for u.users.ctx.Err() == nil {
+		if cancelAt >= 0 && u.users.d.since() >= cancelAt {
+			u.cancel()
+			return
+		}
+		status, state := u.send(question, u.randomNode())
+		if state == protocol.JobDone || state == protocol.JobCancelled {
+			u.askAll()
+			return
+		}
+		if status != http.StatusOK {
+			sleep(u.users.ctx, time.Second)
+			continue
+		}
+		if u.random.IntN(20) == 0 {
+			u.send(submission, u.randomNode()) // repeated
+		}
+		sleep(u.users.ctx, time.Second+time.Duration(u.random.Int64N(int64(4*time.Second))))
+	}
+}
+
+// submit submits the job until it is accepted. It returns false if that takes too long.
+func (u *user) submit() bool {
+	for start := u.users.d.since(); u.users.d.since()-start < submitFor && u.users.ctx.Err() == nil; {
+		status, _ := u.send(submission, u.randomNode())
+		if status == http.StatusOK || status == http.StatusCreated {
+			return true
+		}
+		sleep(u.users.ctx, time.Second)
+	}
+	return false
+}
+
+// cancel cancels the job until that is confirmed or the job is done, and asks at all nodes then.
+func (u *user) cancel() {
+	for u.users.ctx.Err() == nil {
+		if status, _ := u.send(cancellation, u.randomNode()); status == http.StatusOK {
+			u.askAll()
+			return
+		}
+		if u.random.IntN(3) == 0 {
+			u.send(question, u.randomNode())
+		}
+		sleep(u.users.ctx, time.Second)
+	}
+}
+
+// askAll asks all nodes at the same time, within milliseconds after the last answer, and some nodes about a job
+// that nobody has submitted.
+func (u *user) askAll() {
+	var asking sync.WaitGroup
+	for _, c := range u.users.d.controllers {
+		asking.Go(func() { u.send(question, c.name) })
+	}
+	if u.random.IntN(4) == 0 {
+		unknown := &user{users: u.users, spec: protocol.Spec{ID: u.spec.ID + "9"}, random: u.random}
+		unknown.send(question, u.randomNode())
+	}
+	asking.Wait()
+}
+
+func (u *user) randomNode() string {
+	controllers := u.users.d.controllers
+	return controllers[u.random.IntN(len(controllers))].name
+}
+
+// send sends a request about the job to a node and records the answer.
+func (u *user) send(operation operation, node string) (status int, state protocol.JobState) {
+	d := u.users.d
+	a := answer{Job: u.spec.ID, Operation: operation, Node: node, SentAt: d.since()}
+	a.Status, a.State = u.exchange(operation, node)
+	a.AllTasksDone = true
+	for task := range u.spec.Tasks {
+		a.AllTasksDone = a.AllTasksDone && d.cloud.IsTaskDone(fmt.Sprintf("%s/%d", u.spec.ID, task))
+	}
+	a.ReceivedAt = d.since()
+	d.recorder.addAnswer(a)
+	return a.Status, a.State
+}
+
+// exchange sends a request and returns the status and the job's state in the response.
+func (u *user) exchange(operation operation, node string) (status int, state protocol.JobState) {
+	method, target, timeout := http.MethodGet, "/v2/runs/"+u.spec.ID, pollTimeout
+	var body []byte
+	switch operation {
+	case submission:
+		method, target, timeout, body = http.MethodPost, "/v2/runs", submitTimeout, encodeSpec(u.spec)
+	case cancellation:
+		method, target, timeout = http.MethodPost, target+"/cancel", submitTimeout
+	}
+	ctx, stop := context.WithTimeout(context.Background(), timeout)
+	defer stop()
+	client := transport.NewClient(u.address(node), 0, limits.MaxBodyBytes)
+	response, err := client.Do(ctx, method, target, body)
+	if err != nil {
+		return 0, ""
+	}
+	var job protocol.JobStatus
+	if response.Status < http.StatusMultipleChoices && protocol.Decode(response.Body, &job) != nil {
+		return 0, ""
+	}
+	return response.Status, job.State
+}
+
+func (u *user) address(node string) string {
+	for _, c := range u.users.d.controllers {
+		if c.name == node {
+			return c.client
+		}
+	}
+	return ""
+}
+
+// encodeSpec returns the body of a submission. Optional fields that are not set are left out.
+func encodeSpec(spec protocol.Spec) []byte {
+	fields := map[string]any{}
+	if err := protocol.Decode(protocol.Encode(spec), &fields); err != nil {
+		panic(err) // a spec is always a map
+	}
+	for _, optional := range []string{"Rigkinds", "Yard", "DueS"} {
+		delete(fields, optional)
+	}
+	return protocol.Encode(fields)
+}
+
+// sleep waits for a duration. It returns false as soon as the context ends.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -35,6 +35,8 @@
 	// OnTaskChange is called when a machine starts a task (runs is true), and when the task ends there or is
 	// killed.
 	OnTaskChange func(machine, task string, runs bool)
+	// OnCommands is called when a machine executes commands, with the fencing token that came with them.
+	OnCommands func(machine string, incarnation, fencingToken uint64)
 	// InjectFault is called for each request to the cloud. If it returns a status other than 0, the cloud
 	// responds with that status and does not execute the request.
 	InjectFault func(req *transport.Message) (status int)
--- a/internal/standin/state_faults.go
+++ b/internal/standin/state_faults.go
@@ -117,6 +117,22 @@
 	s.delayTransaction = delay
 }
 
+// SetLostReplies loses replies to transactions that are executed. lose is called for each transaction and
+// returns whether its reply is lost. A nil function loses none.
+func (s *StateService) SetLostReplies(lose func() bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loseReply = lose
+}
+
+// losesReply returns whether the reply to the next transaction is lost.
+func (s *StateService) losesReply() bool {
+	s.mu.Lock()
+	lose := s.loseReply
+	s.mu.Unlock()
+	return lose != nil && lose()
+}
+
 // transactionDelay returns how long to delay the next transaction, or false to execute it at once.
 func (s *StateService) transactionDelay() (time.Duration, bool) {
 	s.mu.Lock()
--- a/internal/standin/state_http.go
+++ b/internal/standin/state_http.go
@@ -14,8 +14,9 @@
 
 const (
 	stateMaxConns      = 1000
-	maxListedKeys      = 1000 // maximum number of keys in a page, given by the protocol
-	minLeaseMs         = 100  // shortest lease that the protocol allows
+	maxListedKeys      = 1000             // maximum number of keys in a page, given by the protocol
+	minLeaseMs         = 100              // shortest lease that the protocol allows
+	lostReplyDelay     = 20 * time.Second // after which a lost reply is sent all the same; no caller waits as long
 	pathKeys           = "/kv"
 	pathKey            = "/kv/"
 	pathTransaction    = "/txn"
@@ -109,6 +110,10 @@
 		return
 	}
 	status, reply := s.CompareAndSwap(t)
+	if s.losesReply() {
+		time.AfterFunc(lostReplyDelay, func() { rsp.Respond(http.StatusServiceUnavailable, nil, 0) })
+		return
+	}
 	rsp.Respond(status, protocol.Encode(reply), 0)
 }
 
--- a/internal/standin/state_service.go
+++ b/internal/standin/state_service.go
@@ -28,6 +28,7 @@
 	unavailable           bool
 	rejectedCallers       map[string]bool
 	delayTransaction      func() (time.Duration, bool)
+	loseReply             func() bool
 	limits                StateLimits
 	requestRate           *rate.Limiter // nil: unlimited
 	operationRate         *rate.Limiter // of operations in transactions; nil: unlimited
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -264,9 +264,17 @@
 		return
 	}
 	w.fencingToken, w.leaseStart = reply.FencingToken, sent
+	w.notifyCommands()
 	w.executeCommands(reply.Commands)
 }
 
+// notifyCommands calls OnCommands, if it is set. The caller holds mu.
+func (w *worker) notifyCommands() {
+	if w.cloud.options.OnCommands != nil {
+		w.cloud.options.OnCommands(w.machine.Name, w.incarnation, w.fencingToken)
+	}
+}
+
 // handle responds to a probe or to direct commands. While the machine hangs, it postpones the response.
 func (w *worker) handle(req *transport.Message, rsp *transport.Responder) {
 	if hung := w.remainingHang(); hung > 0 {
@@ -300,6 +308,7 @@
 		return http.StatusConflict, protocol.Encode(w.heartbeat())
 	}
 	w.fencingToken = request.FencingToken
+	w.notifyCommands()
 	w.executeCommands(request.Commands)
 	return http.StatusOK, protocol.Encode(w.heartbeat())
 }
