Take a 429 of the state service for no sign of isolation

Users saw: in the same incident leaders changed without a trouble of their own, and each change let confirmations of cancellations and placement wait again.

Cause: a renewal of the leader lease that is rejected with 429 counted as a sign that this controller is cut off. But 429 is a reply: the service is reachable, and its rate is exceeded by all controllers together. Another controller, asked at another moment, has its read accepted and takes over.

TestRateLimitedLeaderKeepsLeadership failed before (no leadership left after 20 s of 429) and passes now. Entitlement does not change: it ends with the leader lease and the votes as before.

--- a/internal/coordination/election/handover.go
+++ b/internal/coordination/election/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"quillshunt/internal/limits"
@@ -21,6 +22,9 @@
 // scheduler's state on another controller, which is just as busy. If this controller is cut off
 // after all, it stops being entitled, because it gets no votes and can write no heartbeat records.
 func (e *Elector) isStateServiceFault(ctx context.Context, err error) bool {
+	if errors.Is(err, storage.ErrRateLimited) {
+		return false // the state service is reachable, and its rate is exceeded for all controllers
+	}
 	if !storage.IsTimeout(err) {
 		return true
 	}
--- a/internal/coordination/election/handover_test.go
+++ b/internal/coordination/election/handover_test.go
@@ -67,6 +67,26 @@
 	}
 }
 
+// TestRateLimitedLeaderKeepsLeadership guards against leaders that hand over to one another because all
+// controllers together exceed the rate of the state service, which replies 429 at random.
+func TestRateLimitedLeaderKeepsLeadership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(2, 2)
+		defer c.crash()
+		for _, n := range c.nodes {
+			n.start()
+			time.Sleep(3 * time.Second)
+		}
+		leader := c.nodes[0]
+		term := leader.entitledLeadership().Term
+		leader.store.setRateLimited(time.Now().Add(limits.LeaderLease / 3))
+		time.Sleep(limits.LeaderLease / 2)
+		if kept := leader.entitledLeadership(); kept == nil || kept.Term != term {
+			t.Errorf("leadership is %+v after replies with status 429, want that of term %d", kept, term)
+		}
+	})
+}
+
 // TestStalledLeaderHandsOver checks that a leader that answers no requests of clients any more hands over to a
 // controller that does, long before the leader lease expires, and keeps the leadership if there is none.
 func TestStalledLeaderHandsOver(t *testing.T) {
--- a/internal/coordination/election/store_test.go
+++ b/internal/coordination/election/store_test.go
@@ -25,6 +25,7 @@
 	random           *rand.Rand
 	rejectedUntil    time.Time
 	unansweredUntil  time.Time
+	rateLimitedUntil time.Time
 	lossRate         float64                // share of requests and replies that are lost
 	captureCampaigns bool                   // campaign transactions are captured and not applied
 	captured         []protocol.Transaction // captured campaigns, for the test to apply
@@ -45,6 +46,7 @@
 		delay = time.Duration(u.random.IntN(slowRequestMax)) * time.Millisecond
 	}
 	rejected, unanswered := time.Now().Before(u.rejectedUntil), time.Now().Before(u.unansweredUntil)
+	rateLimited := time.Now().Before(u.rateLimitedUntil)
 	u.mu.Unlock()
 	if unanswered {
 		time.Sleep(limits.StateTimeout)
@@ -55,6 +57,9 @@
 	case <-ctx.Done():
 		return fmt.Errorf("%w: %w", storage.ErrOutcomeUnknown, ctx.Err())
 	}
+	if rateLimited {
+		return fmt.Errorf("%w: %w", storage.ErrNotExecuted, storage.ErrRateLimited)
+	}
 	if rejected || u.service.IsUnavailable() {
 		return storage.ErrNotExecuted
 	}
@@ -90,6 +95,14 @@
 	u.rejectedUntil = until
 }
 
+// setRateLimited makes the state service reject this node's requests because of its rate limit until the given
+// time.
+func (u *unreliableStore) setRateLimited(until time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.rateLimitedUntil = until
+}
+
 // setUnanswered makes this node's requests time out until the given time.
 func (u *unreliableStore) setUnanswered(until time.Time) {
 	u.mu.Lock()
