Soak: listen on ports that no outgoing connection uses

The port had been free when it was chosen, from the range that the system gives to outgoing connections, and was taken while the controller was down.

--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -108,14 +109,31 @@
 // since returns the time since the start of the run.
 func (d *deployment) since() time.Duration { return time.Since(d.startedAt) }
 
-// freeAddress returns an address on which nothing listens.
+// Ports of servers are below those that the system gives to outgoing connections, so that a controller finds its
+// port free when it returns.
+const (
+	firstPort = 12_000
+	lastPort  = 32_000
+)
+
+// nextPort is the next port to be tried in this process. The first depends on the process, so that runs in
+// other processes try others.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * 997) }
+
+// freeAddress returns an address on which nothing listens, and which it has not returned before.
 func (d *deployment) freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		d.t.Fatal(err)
+	for range lastPort - firstPort {
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			defer listener.Close()
+			return listener.Addr().String()
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	d.t.Fatal("no port is free")
+	return ""
 }
 
 // startStandins starts the state service, the cloud and all links.
