Treat a truncated page without keys as a failed read

Nothing is known to send one. Without the check, all keys that wait would be taken for missing, and accepted jobs answered with 404. Comments on the slots and shares of user requests say what they are for since the reads are batched.

--- a/internal/limits/sockets.go
+++ b/internal/limits/sockets.go
@@ -26,9 +26,10 @@
 	// probe of an unreachable machine holds its socket for ProbeTimeout.
 	ProbeSocketShare = 0.2
 	MaxProbes        = 512
-	// UserSlots is the maximum number of concurrent user requests. Further requests are rejected, and the
-	// users are asked to retry later. Each request makes one call to the state service at a time, so
-	// UserSlotsShare limits the share of all sockets that these calls use.
+	// UserSlots is the maximum number of concurrent submissions and cancellations. Further ones are rejected,
+	// and the users are asked to retry later. Each makes one call to the state service at a time, so
+	// UserSlotsShare limits the share of all sockets that these calls use. Polls have no such slots: their
+	// reads are shared, see storage.BatchReader.
 	UserSlots      = 64
 	UserSlotsShare = 0.15
 	// MinMailboxSize is the least size of the scheduler's mailbox, in messages; see MailboxSize.
@@ -45,7 +46,7 @@
 	MaxMachineConns int // part of MaxInboundConns that machines may use
 	MaxMachines     int // limit on rented machines, unless the operator sets another one
 	MaxProbes       int // limit on concurrent probes
-	UserSlots       int // limit on concurrent user requests
+	UserSlots       int // limit on concurrent submissions and cancellations
 }
 
 // DivideSockets divides the sockets of a controller in a cluster with the given number of other
--- a/internal/limits/state.go
+++ b/internal/limits/state.go
@@ -39,7 +39,8 @@
 
 // Shares of the state service's rate limits.
 const (
-	// UserReadShare and UserWriteShare are the shares for user requests, over all controllers.
+	// UserReadShare and UserWriteShare are the shares for submissions and cancellations. Each controller may
+	// use all of them, as the users' load is not spread evenly over the controllers.
 	UserReadShare  = 0.5
 	UserWriteShare = 0.4
 	// ControllerReadShare and ControllerWriteShare are the shares for the controllers' own work, nearly all
--- a/internal/storage/batch_reader.go
+++ b/internal/storage/batch_reader.go
@@ -303,6 +303,9 @@
 	if err != nil {
 		return batch, err
 	}
+	if page.Truncated && len(page.Items) == 0 {
+		return batch, fmt.Errorf("%w: truncated page without keys after %s", ErrOutcomeUnknown, first)
+	}
 	values := make(map[string]protocol.KeyValue, len(page.Items))
 	last := "" // last key that the page covers, or "" if it covers all
 	for _, item := range page.Items {
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -20,9 +20,10 @@
 // limits. It is safe for concurrent use.
 //
 // The Store that New returns is for the controllers' own work. The one that ForUserRequests returns is
-// for requests of users and has a separate share. Each controller may use all of that share, because
-// the users' load is not spread evenly over the controllers. If the controllers together exceed a limit
-// of the service, it rejects calls with status 429 without executing them.
+// for submissions and cancellations and has a separate share. Each controller may use all of that share,
+// because the users' load is not spread evenly over the controllers. If the controllers together exceed a
+// limit of the service, it rejects calls with status 429 without executing them. Reads for users go
+// through a BatchReader.
 type Store struct {
 	client         *transport.Client
 	watchClient    *transport.Client // separate, because a watch occupies its connection for a long time
