Soak: machines younger than a minute need not be returned

The check now demands the return of every machine older than that, within 45 s of the last job, and fails for those that are a quarter of a minute older than a minute.

--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -85,6 +85,14 @@
 	return slices.Sorted(maps.Keys(c.workers))
 }
 
+// MachineAge returns the time since a machine was rented, or 0 if there is no such machine.
+func (c *Cloud) MachineAge(name string) time.Duration {
+	if w := c.worker(name); w != nil {
+		return time.Since(w.createdAt)
+	}
+	return 0
+}
+
 // Zone returns the zone of a machine, or "" if there is no such machine.
 func (c *Cloud) Zone(name string) string {
 	if w := c.worker(name); w != nil {
