Tests of the whole service fail on log entries of level ERROR

Controllers check invariants at run time and log a violation as an ERROR. The scenarios now fail on each such entry.

--- a/internal/coordination/controller/cluster_test.go
+++ b/internal/coordination/controller/cluster_test.go
@@ -38,6 +38,9 @@
 	options   clusterOptions
 	times     config.WorkerTimes
 
+	errorMu      sync.Mutex
+	errorEntries []string // log entries of level ERROR: violations of invariants at run time
+
 	mu            sync.Mutex
 	violations    []string          // one message for each violation of a rule
 	jobs          map[string]*job   // by ID
@@ -224,7 +227,7 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	log := c.log.With("node", name)
+	log := slog.New(&errorRecorder{Handler: c.log.Handler(), cluster: c}).With("node", name)
 	controller, err := New(c.settingsOf(name), config.DefaultOptions(), c.network.Dialer(name), log)
 	if err != nil {
 		c.t.Fatal(err)
--- a/internal/coordination/controller/rules_test.go
+++ b/internal/coordination/controller/rules_test.go
@@ -25,6 +25,11 @@
 	for _, v := range violations {
 		c.t.Error(v)
 	}
+	c.errorMu.Lock()
+	defer c.errorMu.Unlock()
+	for _, entry := range c.errorEntries {
+		c.t.Errorf("logged by a controller: %s", entry)
+	}
 	if c.taskStarts == 0 {
 		c.t.Error("nothing_ran: no task started on any machine")
 	}
