Count questions of a user who asks every time another controller as one age

A user whose question fails asks another controller next, so that with five of them each sees a question about the job every 14 s on average, and a pause of more than 15 s ended the age. It is now 60 s, and a violation takes at least three questions without an answer in between.

--- a/internal/coordination/gateway/question_ages.go
+++ b/internal/coordination/gateway/question_ages.go
@@ -17,6 +17,7 @@
 // questionAge describes the questions about a job that this controller has not answered.
 type questionAge struct {
 	firstAt, lastAt time.Time // when the first and the last of them arrived
+	number          int       // how many there are
 	reported        bool      // as a violation of the invariant on their age
 }
 
@@ -59,11 +60,13 @@
 		age = questionAge{firstAt: arrivedAt}
 	}
 	age.lastAt = arrivedAt
+	age.number++
 	from := age.firstAt
 	if from.Before(reachableSince) {
 		from = reachableSince
 	}
-	report = !age.reported && arrivedAt.Sub(from) >= limits.MaxUnansweredAge
+	report = !age.reported && age.number >= limits.MinUnansweredQuestions &&
+		arrivedAt.Sub(from) >= limits.MaxUnansweredAge
 	age.reported = age.reported || report
 	a.jobs[id] = age
 	return age.firstAt, report
--- a/internal/limits/gateway.go
+++ b/internal/limits/gateway.go
@@ -19,9 +19,12 @@
 	// MaxUnansweredAge is how long users may ask about a job without an answer while the state service is
 	// reachable. The users' own bound, after which the job counts as forgotten, is 75 s.
 	MaxUnansweredAge = 60 * time.Second
+	// MinUnansweredQuestions is the least number of questions about a job, all without an answer, for its age
+	// to be a violation. Users may have had answers from other controllers in between.
+	MinUnansweredQuestions = 3
 	// MaxQuestionGap is the time between two questions about a job after which they are not considered
-	// together. Users ask every 5 s, and those who are asked to retry come back within MaxRetryAfterSeconds.
-	MaxQuestionGap = 15 * time.Second
+	// together. A user asks every few seconds, but every time another controller.
+	MaxQuestionGap = 60 * time.Second
 	// MaxQuestionAges is the number of jobs of which a controller records the age of unanswered questions.
 	MaxQuestionAges = 1 << 16
 	// FinalStateCacheSize is the number of jobs whose final states a controller caches, so that polls of
