--- a/internal/coordination/election/handover_test.go
+++ b/internal/coordination/election/handover_test.go
@@ -10,18 +10,24 @@
 	"quillshunt/internal/limits"
 )
 
+// startLeaderAndFollower starts a cluster of two controllers, of which the first has become the leader.
+func startLeaderAndFollower() *cluster {
+	c := newCluster(2, 2)
+	for _, n := range c.nodes {
+		n.start()
+		time.Sleep(3 * time.Second)
+	}
+	return c
+}
+
 // TestHandover checks that a leader hands over long before the leader lease expires if the state
 // service rejects the requests of this leader alone. It must keep the leadership while the state
 // service is unavailable to all controllers.
 func TestHandover(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(2, 2)
+		c := startLeaderAndFollower()
 		defer c.crash()
 		first, second := c.nodes[0], c.nodes[1]
-		first.start()
-		time.Sleep(3 * time.Second)
-		second.start()
-		time.Sleep(3 * time.Second)
 		c.service.SetUnavailable(true)
 		time.Sleep(limits.LeaderLease / 2)
 		if first.entitledLeadership() == nil {
@@ -47,12 +53,8 @@
 	for name, busy := range map[string]bool{"busy": true, "not busy": false} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c := newCluster(2, 2)
+				c := startLeaderAndFollower()
 				defer c.crash()
-				for _, n := range c.nodes {
-					n.start()
-					time.Sleep(3 * time.Second)
-				}
 				leader := c.nodes[0]
 				if busy {
 					leader.setBusy()
@@ -71,12 +73,8 @@
 // controllers together exceed the rate of the state service, which replies 429 at random.
 func TestRateLimitedLeaderKeepsLeadership(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCluster(2, 2)
+		c := startLeaderAndFollower()
 		defer c.crash()
-		for _, n := range c.nodes {
-			n.start()
-			time.Sleep(3 * time.Second)
-		}
 		leader := c.nodes[0]
 		term := leader.entitledLeadership().Term
 		leader.store.setRateLimited(time.Now().Add(limits.LeaderLease / 3))
