Known red: a start that another machine answers is never repeated

Users see: a job stays pending beside room that fits it. In reconcileDirectCommands a reply with another machine's name shows nothing, but the command then has no outcome: its starts are neither released nor repeated.

The trigger was a fault of the stand-in, mended here: two workers had been given the same port, and servers of one process share a port. Each address is now given out once. On real machines an address can come to another machine, too.

TestStartSurvivesReplyOfAnotherMachine shows it without the soak.

--- a/internal/coordination/scheduler/evidence_test.go
+++ b/internal/coordination/scheduler/evidence_test.go
@@ -104,6 +104,34 @@
 	}
 }
 
+// TestStartSurvivesReplyOfAnotherMachine guards against a task that is never started: the direct command with
+// its start is answered by another machine, which has the address now.
+func TestStartSurvivesReplyOfAnotherMachine(t *testing.T) {
+	f := newSchedulerFixture(t, 2)
+	f.sendHeartbeat(0)
+	f.sendHeartbeat(1)
+	f.submitJob("job-1", "red", "standard", 1, 1, 0)
+	sent := f.directCommands()
+	if len(sent) != 1 || countVerb(sent[0].Commands, protocol.CommandStart) != 1 {
+		t.Fatalf("direct commands %+v, want one start", sent)
+	}
+	other := map[string]string{f.machine(0): f.machine(1), f.machine(1): f.machine(0)}[sent[0].Machine]
+	f.step(DirectCommandsDone{ID: sent[0].ID, Machine: sent[0].Machine, Heartbeat: f.heartbeat(other)})
+	starts := 0
+	for range 90 {
+		f.now += time.Second
+		for i := range 2 {
+			starts += countVerb(f.sendHeartbeat(i), protocol.CommandStart)
+			for _, direct := range f.directCommands() {
+				starts += countVerb(direct.Commands, protocol.CommandStart)
+			}
+		}
+	}
+	if starts == 0 {
+		t.Errorf("no further start in 90 s, although the machine sends heartbeats")
+	}
+}
+
 // TestMachineThatReceivesNothing checks a machine whose heartbeats arrive but which receives neither
 // replies nor commands. At most one start to it is lost, because it gets no further start until a round
 // trip succeeds. It is deleted in time, and results that it reports still count.
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -313,12 +313,24 @@
 	return http.StatusOK, protocol.Encode(w.heartbeat())
 }
 
-// freeAddress returns an address with a free TCP port on the loopback interface.
+// usedAddresses holds the addresses that freeAddress has returned. Servers share their port with other listeners
+// of the same process, so that a second server on an address would get some of the requests of the first.
+var usedAddresses sync.Map
+
+// freeAddress returns an address with a free TCP port on the loopback interface, which it has not returned
+// before.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		address := listener.Addr().String()
+		if err := listener.Close(); err != nil {
+			return "", err
+		}
+		if _, used := usedAddresses.LoadOrStore(address, true); !used {
+			return address, nil
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
 }
