--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -55,7 +55,7 @@
 func sizeOf(seed uint64) size {
 	if seed%largeEvery == 0 {
 		return size{
-			controllers: 5, jobInterval: 120 * time.Millisecond, firstJobs: 300, stateRPS: 150, stateWriteRPS: 40,
+			controllers: 5, jobInterval: 120 * time.Millisecond, firstJobs: 300, stateRPS: 60, stateWriteRPS: 30,
 		}
 	}
 	return size{controllers: 3, jobInterval: 700 * time.Millisecond, firstJobs: 5, stateRPS: 80, stateWriteRPS: 25}
