Tests: call what is there for waits, look-ups and reading a file

The soak had a wait that ends with a context, which is storage.SleepContext; the test of answers had a search in a slice, which is slices.Contains; the soak opened and read each log in two steps, which is os.ReadFile. They are called instead. No assertion, bound or draw changes.

--- a/internal/coordination/controller/answers_test.go
+++ b/internal/coordination/controller/answers_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -230,22 +231,13 @@
 		return true, 0
 	}
 	var status protocol.JobStatus
-	if err := protocol.Decode(reply.Body, &status); err != nil || !isAllowed(status.State, allowed) {
+	if err := protocol.Decode(reply.Body, &status); err != nil || !slices.Contains(allowed, status.State) {
 		q.wrong = append(q.wrong, fmt.Sprintf("job %s is called %q", id, status.State))
 	}
 	q.recordAnswer(id)
 	return true, 0
 }
 
-func isAllowed(state protocol.JobState, allowed []protocol.JobState) bool {
-	for _, a := range allowed {
-		if state == a {
-			return true
-		}
-	}
-	return false
-}
-
 // recordAnswer records an answer about an accepted job. The caller holds mu.
 func (q *questioners) recordAnswer(id string) {
 	if !q.endedAt.IsZero() {
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -293,13 +292,7 @@
 func (d *deployment) errorLines() []string {
 	var lines []string
 	for _, c := range d.controllers {
-		log, err := os.Open(d.path(c.name + ".log"))
-		if err != nil {
-			d.t.Error(err)
-			continue
-		}
-		text, err := io.ReadAll(log)
-		log.Close()
+		text, err := os.ReadFile(d.path(c.name + ".log"))
 		if err != nil {
 			d.t.Error(err)
 		}
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"quillshunt/internal/storage"
 )
 
 // faultKind is a kind of fault.
@@ -91,7 +93,7 @@
 	var playing sync.WaitGroup
 	for _, f := range s.Faults {
 		playing.Go(func() {
-			if sleep(d.ctx, f.At-d.since()) {
+			if storage.SleepContext(d.ctx, f.At-d.since()) {
 				d.play(f)
 			}
 		})
@@ -126,7 +128,7 @@
 		d.playCrash(f, c)
 	case pause:
 		d.pause(c, true)
-		sleep(d.ctx, f.For)
+		storage.SleepContext(d.ctx, f.For)
 		d.pause(c, false)
 	case cutState:
 		d.setLinks(f.For, held, linkName(c.name, stateEnd))
@@ -162,12 +164,12 @@
 	case roll:
 		for _, each := range d.controllers {
 			d.restart(min(f.For, time.Second), each)
-			sleep(d.ctx, time.Second)
+			storage.SleepContext(d.ctx, time.Second)
 		}
 	case crashSeries:
 		for range 4 {
 			d.restart(200*time.Millisecond, c)
-			sleep(d.ctx, f.For/4)
+			storage.SleepContext(d.ctx, f.For/4)
 		}
 	}
 }
@@ -188,27 +190,27 @@
 	switch f.Kind {
 	case refuseState:
 		d.state.SetRejectedCaller(c.name, true)
-		sleep(d.ctx, f.For)
+		storage.SleepContext(d.ctx, f.For)
 		d.state.SetRejectedCaller(c.name, false)
 	case outage:
 		d.state.SetUnavailable(true)
-		sleep(d.ctx, f.For)
+		storage.SleepContext(d.ctx, f.For)
 		d.state.SetUnavailable(false)
 	case lateWrites:
 		d.state.SetDelayedTransactions(func() (time.Duration, bool) {
 			return between(2*time.Second, 12*time.Second), chance(0.3)
 		})
-		sleep(d.ctx, f.For)
+		storage.SleepContext(d.ctx, f.For)
 		d.state.SetDelayedTransactions(nil)
 	case lostReplies:
 		d.state.SetLostReplies(func() bool { return chance(0.3) })
-		sleep(d.ctx, f.For)
+		storage.SleepContext(d.ctx, f.For)
 		d.state.SetLostReplies(nil)
 	case lateHeartbeats:
 		d.cloud.SetDuplicateHeartbeats(func(string) (time.Duration, bool) {
 			return between(time.Second, 15*time.Second), chance(0.2)
 		})
-		sleep(d.ctx, f.For)
+		storage.SleepContext(d.ctx, f.For)
 		d.cloud.SetDuplicateHeartbeats(nil)
 	case hangMachines, killMachines:
 		for _, machine := range d.cloud.MachineNames() {
@@ -220,7 +222,7 @@
 				d.cloud.KillMachine(machine)
 			}
 		}
-		sleep(d.ctx, f.For)
+		storage.SleepContext(d.ctx, f.For)
 	}
 }
 
@@ -229,7 +231,7 @@
 	for _, name := range names {
 		d.links[name].set(state)
 	}
-	sleep(d.ctx, duration)
+	storage.SleepContext(d.ctx, duration)
 	for _, name := range names {
 		d.links[name].set(linkState{})
 	}
@@ -251,7 +253,7 @@
 	for _, c := range controllers {
 		d.kill(c)
 	}
-	sleep(d.ctx, downtime)
+	storage.SleepContext(d.ctx, downtime)
 	for _, c := range controllers {
 		d.start(c)
 	}
@@ -259,7 +261,7 @@
 
 // sampleUntil records the tasks on machines every half second until the context ends.
 func (d *deployment) sampleUntil(ctx context.Context) {
-	for sleep(ctx, time.Second/2) {
+	for storage.SleepContext(ctx, time.Second/2) {
 		d.sampleRunning()
 	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"quillshunt/internal/protocol"
+	"quillshunt/internal/storage"
 )
 
 // Variables that choose the runs. Without them a few short ones are made.
@@ -216,7 +217,7 @@
 		if len(unfinished) == 0 || time.Now().After(deadline) {
 			return unfinished
 		}
-		sleep(d.ctx, time.Second/4)
+		storage.SleepContext(d.ctx, time.Second/4)
 	}
 }
 
@@ -230,7 +231,7 @@
 		if time.Now().After(deadline) {
 			return d.machinesOlderThan(paidAge + machineReturn/3)
 		}
-		sleep(d.ctx, time.Second/4)
+		storage.SleepContext(d.ctx, time.Second/4)
 	}
 }
 
--- a/internal/soak/users_test.go
+++ b/internal/soak/users_test.go
@@ -10,6 +10,7 @@
 
 	"quillshunt/internal/limits"
 	"quillshunt/internal/protocol"
+	"quillshunt/internal/storage"
 	"quillshunt/internal/transport"
 )
 
@@ -33,7 +34,7 @@
 func (u *users) submitJobs(submitting context.Context, interval time.Duration) {
 	for submitting.Err() == nil {
 		u.startUser()
-		if !sleep(submitting, time.Duration(u.random.ExpFloat64()*float64(interval))) {
+		if !storage.SleepContext(submitting, time.Duration(u.random.ExpFloat64()*float64(interval))) {
 			return
 		}
 	}
@@ -84,13 +85,13 @@
 			return
 		}
 		if status != http.StatusOK {
-			sleep(u.users.ctx, time.Second)
+			storage.SleepContext(u.users.ctx, time.Second)
 			continue
 		}
 		if u.random.IntN(20) == 0 {
 			u.send(submission, u.randomNode()) // repeated
 		}
-		sleep(u.users.ctx, time.Second+time.Duration(u.random.Int64N(int64(4*time.Second))))
+		storage.SleepContext(u.users.ctx, time.Second+time.Duration(u.random.Int64N(int64(4*time.Second))))
 	}
 }
 
@@ -101,7 +102,7 @@
 		if status == http.StatusOK || status == http.StatusCreated {
 			return true
 		}
-		sleep(u.users.ctx, time.Second)
+		storage.SleepContext(u.users.ctx, time.Second)
 	}
 	return false
 }
@@ -116,7 +117,7 @@
 		if u.random.IntN(3) == 0 {
 			u.send(question, u.randomNode())
 		}
-		sleep(u.users.ctx, time.Second)
+		storage.SleepContext(u.users.ctx, time.Second)
 	}
 }
 
@@ -197,13 +198,3 @@
 	}
 	return protocol.Encode(fields)
 }
-
-// sleep waits for a duration. It returns false as soon as the context ends.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
