Comments: reword what had become wrong or spoke in figures

Cause: the pause after which questions are not considered together had grown, while the comment beside it still told of the short one; the invariant was described as a question that waits, and two comments named figures of users. Change: comments of four files, no code. logSummaries says that it also removes old ages.

--- a/internal/coordination/gateway/question_ages.go
+++ b/internal/coordination/gateway/question_ages.go
@@ -21,8 +21,8 @@
 	reported        bool      // as a violation of the invariant on their age
 }
 
-// isContinuedAt reports whether a question that arrives at a time belongs with the earlier ones. Otherwise the
-// user has stopped asking, or asks other controllers.
+// isContinuedAt reports whether a question that arrives at a time is considered together with the earlier
+// ones. It is not if too much time has passed since the last of them.
 func (q questionAge) isContinuedAt(at time.Time) bool {
 	return at.Sub(q.lastAt) <= limits.MaxQuestionGap
 }
--- a/internal/coordination/gateway/request_summary.go
+++ b/internal/coordination/gateway/request_summary.go
@@ -54,7 +54,7 @@
 }
 
 // logSummaries logs the outcomes of the user requests at intervals of limits.SummaryInterval, unless there
-// were none, until the context ends.
+// were none, until the context ends. At the same intervals it removes old ages of questions.
 func (g *Gateway) logSummaries(ctx context.Context) {
 	ticker := time.NewTicker(limits.SummaryInterval)
 	defer ticker.Stop()
--- a/internal/limits/gateway.go
+++ b/internal/limits/gateway.go
@@ -17,13 +17,14 @@
 	// other controllers. Both attempts together fit into SubmitTimeout.
 	CancelConfirmTimeout = 600 * time.Millisecond
 	// MaxUnansweredAge is how long users may ask about a job without an answer while the state service is
-	// reachable. The users' own bound, after which the job counts as forgotten, is 75 s.
+	// reachable. It is shorter than the time after which the protocol calls a job forgotten.
 	MaxUnansweredAge = 60 * time.Second
 	// MinUnansweredQuestions is the least number of questions about a job, all without an answer, for its age
 	// to be a violation. Users may have had answers from other controllers in between.
 	MinUnansweredQuestions = 3
 	// MaxQuestionGap is the time between two questions about a job after which they are not considered
-	// together. A user asks every few seconds, but every time another controller.
+	// together. It is much longer than the interval of a user's polls, because each of them may go to
+	// another controller.
 	MaxQuestionGap = 60 * time.Second
 	// MaxQuestionAges is the number of jobs of which a controller records the age of unanswered questions.
 	MaxQuestionAges = 1 << 16
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -69,11 +69,11 @@
 // Invariant is a condition that is checked at run time.
 type Invariant string
 
-// InvariantAnswerAge is that no question about a job that its user may ask for waits without an answer for
-// longer than limits.MaxUnansweredAge while this controller reaches the state service.
+// InvariantAnswerAge is that the questions about a job do not all stay unanswered for limits.MaxUnansweredAge
+// while this controller reaches the state service.
 const InvariantAnswerAge Invariant = "answer_age"
 
-// Upper bounds of the histograms' buckets, in seconds. Users wait for 2 s for the answer to a poll.
+// Upper bounds of the histograms' buckets, in seconds.
 var (
 	latencyBuckets  = []float64{0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8}
 	rateWaitBuckets = []float64{0.001, 0.01, 0.05, 0.1, 0.25, 0.5, 1, 2}
