Repeat starts whose direct command another machine answered

Cause: a command without an outcome. In reconcileDirectCommands a reply with another machine's name, or an invalid one, changed nothing, although the command counted as done: the starts kept its ID, so no task list could release them and no heartbeat reply repeated them, for as long as their machine lived.

Change: such a reply is treated as none. The starts are unconfirmed, so the replies to the machine's own heartbeats repeat them (the same attempt, without effect on a started task), and no further command goes to that address for limits.DirectCommandBackoff. The tasks stay assigned, as the worker may still execute the command. What the other machine has started by mistake is stopped by the answer to its next heartbeat, as before; until then a start that is repeated at once may run beside it, as after a reply that was lost.

--- a/internal/coordination/scheduler/dispatcher.go
+++ b/internal/coordination/scheduler/dispatcher.go
@@ -173,14 +173,13 @@
 				s.assignments.release(a)
 			}
 		}
-	case heartbeat == nil:
-		// The worker may still execute the commands, at any time until its incarnation or the term
-		// ends, so the tasks stay assigned. Until the worker lists them, the replies to its heartbeats
-		// repeat the starts, which has no effect on a started task.
+	case heartbeat == nil || heartbeat.Machine != e.Machine || !heartbeat.IsValid():
+		// There is no reply, or none that shows anything about the machine's tasks. The worker may still
+		// execute the commands, at any time until its incarnation or the term ends, so the tasks stay
+		// assigned. Until the worker lists them, the replies to its heartbeats repeat the starts, which has
+		// no effect on a started task.
 		m.directBackoffUntil = s.now + limits.DirectCommandBackoff
 		m.markStartsUnconfirmed(e.ID)
-	case heartbeat.Machine != e.Machine || !heartbeat.IsValid():
-		// An invalid reply shows nothing about the tasks.
 	case m.isOutdated(heartbeat, m.taskListSequence):
 		// A newer message was processed first. Its task list shows whether the starts have arrived,
 		// unless the worker sent it before it received them.
