Count why a lease, a start or a stop was withheld

Change: each reply that rejects a heartbeat carries a WithheldReason, and each step of the scheduler emits the counts of commands that it could not send, by reason. The leader counts them, the commands that it sends, and the heartbeats, in quillshunt_heartbeats_total, quillshunt_commands_total and quillshunt_commands_withheld_total, and in the key decisions of its summary. Labels have small fixed sets of values.

--- a/internal/coordination/leader/effects.go
+++ b/internal/coordination/leader/effects.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"quillshunt/internal/coordination/scheduler"
+	"quillshunt/internal/metrics"
 	"quillshunt/internal/protocol"
 )
 
@@ -16,6 +17,7 @@
 	case scheduler.WriteRecords:
 		t.writes.add(effect)
 	case scheduler.SendDirectCommands:
+		t.countCommands(metrics.ChannelDirect, effect.Commands)
 		go t.executeDirectCommands(ctx, effect, t.workerClients.get(effect.Address))
 	case scheduler.ProbeMachine:
 		go t.executeProbe(ctx, effect)
@@ -27,6 +29,8 @@
 		go t.executeListMachines(ctx)
 	case scheduler.FetchMachineTypes:
 		go t.refreshMachineTypes(ctx)
+	case scheduler.CommandsWithheld:
+		t.countWithheld(effect)
 	case scheduler.TaskCounts:
 		effect.ReplyTo <- effect
 	case scheduler.SnapshotTaken:
@@ -41,17 +45,26 @@
 func (t *termActor) replyToHeartbeat(reply scheduler.HeartbeatReply) {
 	switch {
 	case reply.Redirect:
+		t.countHeartbeat(metrics.HeartbeatRedirected)
 		reply.ReplyTo.Redirect(protocol.Redirect{Leader: t.dispatcher.settings.NodeName})
-	case !reply.Accepted || !t.leadership.IsEntitled():
+	case !reply.Accepted:
+		t.countHeartbeat(string(reply.Reason))
+		reply.ReplyTo.Reject()
+	case !t.leadership.IsEntitled():
+		t.countHeartbeat(string(scheduler.WithheldNotEntitled))
 		reply.ReplyTo.Reject()
 	default:
+		t.countHeartbeat(metrics.HeartbeatAccepted)
+		t.countCommands(metrics.ChannelHeartbeat, reply.Commands)
 		reply.ReplyTo.Accept(protocol.HeartbeatReply{FencingToken: t.leadership.Term, Commands: reply.Commands})
 	}
 }
 
-// writeLogEntry writes a log entry of the scheduler. It adds the resource usage to the summary entry.
+// writeLogEntry writes a log entry of the scheduler. It adds the decisions and the resource usage to the summary
+// entry.
 func (t *termActor) writeLogEntry(ctx context.Context, entry scheduler.LogEntry) {
 	if entry.Message == scheduler.SummaryMessage {
+		entry.Args = append(entry.Args, "decisions", t.decisions.take())
 		entry.Args = append(entry.Args, t.resourceUsage()...)
 	}
 	t.log.Log(ctx, entry.Level, entry.Message, entry.Args...)
--- a/internal/coordination/scheduler/assignment_table.go
+++ b/internal/coordination/scheduler/assignment_table.go
@@ -63,13 +63,16 @@
 	}
 }
 
-// releaseUnsent releases those tasks of a machine whose start command was not sent yet.
-func (t *assignmentTable) releaseUnsent(m *machine) {
+// releaseUnsent releases those tasks of a machine whose start command was not sent yet, and returns their
+// number.
+func (t *assignmentTable) releaseUnsent(m *machine) (released int) {
 	for _, a := range m.sortedAssignments() {
 		if a.state == stateUnsent {
 			t.release(a)
+			released++
 		}
 	}
+	return released
 }
 
 // withdraw removes a task from its machine. If its start was not sent yet, the task is released at
--- a/internal/coordination/scheduler/commands.go
+++ b/internal/coordination/scheduler/commands.go
@@ -71,13 +71,18 @@
 			continue
 		}
 		if m.registration != registered {
-			continue // the next leader would not know that this machine may hold tasks
+			t.withhold(WithheldUnregistered, 1) // the next leader would not know that this machine may hold tasks
+			continue
 		}
 		switch {
 		case a.committed:
 			// committedResources includes its demand already; see commitGangs.
-		case a.job.gang != nil || !capacity.Covers(committed.Plus(a.job.demand)):
-			continue // its resources are not confirmed to be free yet
+		case a.job.gang != nil:
+			t.withhold(WithheldGang, 1)
+			continue
+		case !capacity.Covers(committed.Plus(a.job.demand)):
+			t.withhold(WithheldResources, 1)
+			continue
 		default:
 			committed = committed.Plus(a.job.demand)
 		}
--- a/internal/coordination/scheduler/dispatcher.go
+++ b/internal/coordination/scheduler/dispatcher.go
@@ -45,10 +45,20 @@
 	return d.lastID
 }
 
-// canSendTo reports whether a direct command may be sent to a machine now. A machine that is to be deleted
-// gets stops and corrections too: the cloud may confirm its deletion late, or not at all.
+// canSendTo reports whether a direct command may be sent to a machine now, and counts why not. A machine that
+// is to be deleted gets stops and corrections too: the cloud may confirm its deletion late, or not at all.
 func (d *commandDispatcher) canSendTo(m *machine) bool {
-	return d.canAddress(m) && d.now >= m.directBackoffUntil && !d.isStale(m) && !m.relayed
+	switch {
+	case m.pendingDirectID != 0:
+		d.withhold(WithheldCommandInFlight, 1)
+	case !d.canAddress(m) || d.isStale(m) || m.relayed:
+		d.withhold(WithheldUnreachable, 1)
+	case d.now < m.directBackoffUntil:
+		d.withhold(WithheldBackoff, 1)
+	default:
+		return true
+	}
+	return false
 }
 
 // canAddress reports whether what is known of a machine's worker is enough for a direct command, and no
@@ -127,6 +137,7 @@
 		if d.inFlight >= limits.MaxDirectCommands {
 			d.waiting = waiting[i:]
 			d.deferredCount = len(d.waiting)
+			d.withhold(WithheldTooManyInFlight, d.deferredCount)
 			return
 		}
 		if !m.dispatchQueued {
--- a/internal/coordination/scheduler/effects.go
+++ b/internal/coordination/scheduler/effects.go
@@ -18,6 +18,7 @@
 	ReplyTo  HeartbeatResponder
 	Accepted bool
 	Redirect bool
+	Reason   WithheldReason // why the heartbeat is rejected, "" otherwise
 	Commands []protocol.Command
 }
 
@@ -58,6 +59,10 @@
 // MachineTypesFetched.
 type FetchMachineTypes struct{}
 
+// CommandsWithheld counts the commands that could not be sent in this step, for operators. A command that is
+// withheld for several steps is counted in each.
+type CommandsWithheld struct{ Counts map[WithheldReason]int }
+
 // TaskCounts answers a TaskCountsRequested.
 type TaskCounts struct {
 	ReplyTo       chan<- TaskCounts
@@ -86,6 +91,7 @@
 func (DeleteMachines) effect()     {}
 func (ListMachines) effect()       {}
 func (FetchMachineTypes) effect()  {}
+func (CommandsWithheld) effect()   {}
 func (TaskCounts) effect()         {}
 func (SnapshotTaken) effect()      {}
 func (LogEntry) effect()           {}
--- a/internal/coordination/scheduler/heartbeat.go
+++ b/internal/coordination/scheduler/heartbeat.go
@@ -10,9 +10,17 @@
 func (s *Scheduler) handleHeartbeat(e HeartbeatReceived) {
 	heartbeat := e.Heartbeat
 	switch {
-	case !e.Entitled || !heartbeat.IsValid() || heartbeat.FencingToken > s.cfg.Term ||
-		s.inventory.isDeleted(heartbeat.Machine):
-		s.rejectHeartbeat(e)
+	case !e.Entitled:
+		s.rejectHeartbeat(e, WithheldNotEntitled)
+		return
+	case !heartbeat.IsValid():
+		s.rejectHeartbeat(e, WithheldMalformed)
+		return
+	case heartbeat.FencingToken > s.cfg.Term:
+		s.rejectHeartbeat(e, WithheldLaterTerm)
+		return
+	case s.inventory.isDeleted(heartbeat.Machine):
+		s.rejectHeartbeat(e, WithheldMachineDeleted)
 		return
 	case heartbeat.FencingToken < s.cfg.Term:
 		s.replyToUnfencedHeartbeat(e)
@@ -30,8 +38,8 @@
 }
 
 // rejectHeartbeat answers a heartbeat without renewing the worker's lease.
-func (s *Scheduler) rejectHeartbeat(e HeartbeatReceived) {
-	s.emit(HeartbeatReply{ReplyTo: e.ReplyTo})
+func (s *Scheduler) rejectHeartbeat(e HeartbeatReceived, reason WithheldReason) {
+	s.emit(HeartbeatReply{ReplyTo: e.ReplyTo, Reason: reason})
 }
 
 // redirectHeartbeat instructs a worker whose heartbeat was relayed by another controller to send its
@@ -57,7 +65,7 @@
 		commands = s.reconcileTasks(m, heartbeat, 0)
 	}
 	if !s.mayRenewLease(m, heartbeat) {
-		s.rejectHeartbeat(e)
+		s.rejectHeartbeat(e, WithheldCancelledTask)
 		s.dispatcher.sendOverdueStops(m, s.assignments.appendStops(m, commands))
 		return
 	}
@@ -66,7 +74,7 @@
 		s.stopTasksForSpotNotice(m)
 	}
 	if !m.verified {
-		s.assignments.releaseUnsent(m)
+		s.withhold(WithheldUnverified, s.assignments.releaseUnsent(m))
 		s.prober.probeIfDue(m)
 	}
 	s.updatePlacement()
@@ -82,11 +90,14 @@
 func (s *Scheduler) replyToOutdatedHeartbeat(e HeartbeatReceived, m *machine) {
 	isNewest := e.Heartbeat.Incarnation == m.incarnation && e.Heartbeat.Sequence == m.heartbeatSequence
 	justAnswered := s.now < m.lastHeartbeatAt+limits.HeartbeatReplyTimeout
-	if !isNewest || !justAnswered || !m.hasLiveIncarnation() || !s.mayRenewLease(m, e.Heartbeat) {
-		s.rejectHeartbeat(e)
-		return
+	switch {
+	case !isNewest || !justAnswered || !m.hasLiveIncarnation():
+		s.rejectHeartbeat(e, WithheldOutdated)
+	case !s.mayRenewLease(m, e.Heartbeat):
+		s.rejectHeartbeat(e, WithheldCancelledTask)
+	default:
+		s.emit(HeartbeatReply{ReplyTo: e.ReplyTo, Accepted: true, Commands: m.commandsToRepeat()})
 	}
-	s.emit(HeartbeatReply{ReplyTo: e.ReplyTo, Accepted: true, Commands: m.commandsToRepeat()})
 }
 
 // replyToUnfencedHeartbeat replies to a heartbeat that carries the fencing token of an earlier term. The
@@ -103,14 +114,14 @@
 		return
 	case m == nil: // its route is not tracked
 	case m.hasReported && e.Heartbeat.Incarnation < m.incarnation, e.Heartbeat.Incarnation <= m.endedIncarnation:
-		s.rejectHeartbeat(e)
+		s.rejectHeartbeat(e, WithheldOutdated)
 		return
 	case !s.reachability.acceptRoute(m, e.Relayed):
 		s.redirectHeartbeat(e)
 		return
 	}
 	if !s.mayRenewLease(m, e.Heartbeat) {
-		s.rejectHeartbeat(e)
+		s.rejectHeartbeat(e, WithheldCancelledTask)
 		if m != nil {
 			s.prober.probeUnlessTooSoon(m)
 		}
--- a/internal/coordination/scheduler/outbox.go
+++ b/internal/coordination/scheduler/outbox.go
@@ -11,6 +11,7 @@
 	effects       []Effect
 	pendingWrites map[uint64]pendingWrite // by ID
 	lastWriteID   uint64                  // ID of the newest write; IDs count up from 1
+	withheld      map[WithheldReason]int  // commands that were not sent in this step; nil if there are none
 }
 
 // newOutbox returns an empty outbox.
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -5,7 +5,11 @@
 // lacks free resources, it preempts tasks there. This is the algorithm of the paper that package
 // placement names.
 func (s *Scheduler) placeTasks() {
-	if !s.placement.isPassRequested() || !s.recovery.hasEnded() {
+	if !s.placement.isPassRequested() {
+		return
+	}
+	if !s.recovery.hasEnded() {
+		s.withhold(WithheldRecovery, 1)
 		return
 	}
 	jobs := s.placement.collectJobs()
--- a/internal/coordination/scheduler/step.go
+++ b/internal/coordination/scheduler/step.go
@@ -12,6 +12,7 @@
 	s.tryEndRecovery()
 	s.updatePlacement()
 	s.dispatchCommands()
+	s.reportWithheld()
 	return s.effects
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -24,6 +24,9 @@
 	fencingToken  prometheus.Gauge
 	mailbox       prometheus.Gauge
 	mailboxAge    prometheus.Gauge
+	heartbeats    *prometheus.CounterVec
+	commands      *prometheus.CounterVec
+	withheld      *prometheus.CounterVec
 	violations    *prometheus.CounterVec
 }
 
@@ -66,6 +69,22 @@
 	CallGivenUp     CallResult = "given_up" // ended by its own caller
 )
 
+// Outcomes of heartbeats that have a lease or a redirect in their reply. The other outcomes are the reasons of
+// the scheduler.
+const (
+	HeartbeatAccepted   = "accepted"
+	HeartbeatRedirected = "redirected"
+)
+
+// CommandChannel is how commands reach a worker.
+type CommandChannel string
+
+// The channels of commands.
+const (
+	ChannelHeartbeat CommandChannel = "reply" // in the reply to a heartbeat
+	ChannelDirect    CommandChannel = "direct"
+)
+
 // Invariant is a condition that is checked at run time.
 type Invariant string
 
@@ -103,12 +122,21 @@
 		mailbox:       newGauge("leader_mailbox_messages", "Messages that wait for the leader's actor."),
 		mailboxAge: newGauge("leader_mailbox_age_seconds",
 			"Wait of the heartbeat that the leader's actor handled last."),
+		heartbeats: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "heartbeats_total", Help: "Heartbeats that the leader answered, by outcome.",
+		}, []string{"outcome"}),
+		commands: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "commands_total", Help: "Commands sent to workers.",
+		}, []string{"verb", "channel"}),
+		withheld: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "commands_withheld_total", Help: "Commands not sent at once, by reason.",
+		}, []string{"reason"}),
 		violations: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "invariant_violations_total", Help: "Violations of invariants; must stay 0.",
 		}, []string{"invariant"}),
 	}
 	m.registry.MustRegister(m.requests, m.latency, m.rateWait, m.stateCalls, m.stateRevision, m.leading,
-		m.fencingToken, m.mailbox, m.mailboxAge, m.violations)
+		m.fencingToken, m.mailbox, m.mailboxAge, m.heartbeats, m.commands, m.withheld, m.violations)
 	return m
 }
 
@@ -171,6 +199,27 @@
 	}
 }
 
+// CountHeartbeat counts a heartbeat that the leader has answered.
+func (m *Metrics) CountHeartbeat(outcome string) {
+	if m != nil {
+		m.heartbeats.WithLabelValues(outcome).Inc()
+	}
+}
+
+// CountCommand counts a command that is sent to a worker.
+func (m *Metrics) CountCommand(verb string, channel CommandChannel) {
+	if m != nil {
+		m.commands.WithLabelValues(verb, string(channel)).Inc()
+	}
+}
+
+// CountWithheld counts commands that the leader could not send at once.
+func (m *Metrics) CountWithheld(reason string, count int) {
+	if m != nil {
+		m.withheld.WithLabelValues(reason).Add(float64(count))
+	}
+}
+
 // CountViolation counts a violation of an invariant.
 func (m *Metrics) CountViolation(invariant Invariant) {
 	if m != nil {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -18,6 +18,9 @@
 	m.CountStateCall("users", CallGivenUp)
 	m.SetTerm(7)
 	m.SetMailbox(3, 1500*time.Millisecond)
+	m.CountHeartbeat(HeartbeatAccepted)
+	m.CountCommand("start", ChannelDirect)
+	m.CountWithheld("recovery", 3)
 	m.CountViolation(InvariantAnswerAge)
 	server := httptest.NewServer(m.Handler())
 	defer server.Close()
@@ -39,6 +42,9 @@
 		`quillshunt_leading 1`,
 		`quillshunt_leader_mailbox_messages 3`,
 		`quillshunt_leader_mailbox_age_seconds 1.5`,
+		`quillshunt_heartbeats_total{outcome="accepted"} 1`,
+		`quillshunt_commands_total{channel="direct",verb="start"} 1`,
+		`quillshunt_commands_withheld_total{reason="recovery"} 3`,
 		`quillshunt_invariant_violations_total{invariant="answer_age"} 1`,
 	} {
 		if !strings.Contains(string(body), want) {
@@ -57,6 +63,9 @@
 	m.SetTerm(1)
 	m.SetMailbox(1, 0)
 	m.EndTerm()
+	m.CountHeartbeat(HeartbeatRedirected)
+	m.CountCommand("stop", ChannelHeartbeat)
+	m.CountWithheld("gang", 1)
 	m.CountViolation(InvariantAnswerAge)
 }
 
