Go on after a failed page when a new leader reads its records

Callers saw no leader for longer than needed after an outage: cancellations were answered 503 and nothing was placed.

Cause: the scope of the retry. loadState read all records anew after any page that failed. With n pages and a share p of failing requests an attempt succeeds with (1-p)^n, which is next to never for the pages of a large fleet, and each attempt took requests from everybody else.

Change: Store.ListWithRetries repeats the page that was not executed or got no reply, with the usual backoff, until the context ends; pages that were read are kept. The revision is that of the first page as before, so the watch that follows misses no change. Each repetition is logged with the line that operators know. Other lists, which want a quick answer, are unchanged. The stand-in can reject one of n requests.

--- a/internal/coordination/leader/load.go
+++ b/internal/coordination/leader/load.go
@@ -13,32 +13,47 @@
 )
 
 // loadState reads the records of earlier terms from the state service and passes them to the scheduler.
-// It retries until all have been read. It returns the revision at which a watch of the open jobs has to
-// start, or false if the context ends first.
+// It returns the revision at which a watch of the open jobs has to start, or false if the context ends first.
 func (t *termActor) loadState(ctx context.Context) (revision uint64, ok bool) {
+	revision, events, ok := t.readRecordsWithRetries(ctx)
+	if !ok {
+		return 0, false
+	}
+	for _, event := range events {
+		t.step(ctx, event)
+	}
+	t.step(ctx, scheduler.StateLoaded{})
+	t.leadership.SetObservedRevision(revision)
+	return revision, true
+}
+
+// readRecordsWithRetries is like readRecords, but retries until all records have been read, or returns false if
+// the context ends first.
+func (t *termActor) readRecordsWithRetries(
+	ctx context.Context,
+) (revision uint64, events []scheduler.Event, ok bool) {
 	var backoff storage.Backoff
 	for {
 		revision, events, err := t.readRecords(ctx)
 		if err == nil {
-			for _, event := range events {
-				t.step(ctx, event)
-			}
-			t.step(ctx, scheduler.StateLoaded{})
-			t.leadership.SetObservedRevision(revision)
-			return revision, true
+			return revision, events, true
 		}
-		t.log.Warn("failed to load the scheduler's state; retrying", "err", err)
+		t.logLoadRetry(err)
 		if !backoff.Wait(ctx) {
-			return 0, false
+			return 0, nil, false
 		}
 	}
 }
 
+// logLoadRetry logs that a read of the records failed and is repeated.
+func (t *termActor) logLoadRetry(err error) {
+	t.log.Warn("failed to load the scheduler's state; retrying", "err", err)
+}
+
 // readRecords reads the open jobs, the finished tasks, the rentals and the machine registry. It returns
 // them as events, in the order in which the scheduler must process them, and the revision at which a
 // watch of the open jobs has to start.
 func (t *termActor) readRecords(ctx context.Context) (revision uint64, events []scheduler.Event, err error) {
-	store := t.dispatcher.store
 	revision, events, err = t.readOpenJobs(ctx)
 	if err != nil {
 		return 0, nil, err
@@ -48,21 +63,21 @@
 			events = append(events, scheduler.FinishedTasksLoaded{JobID: id, Version: version, Record: record})
 		}
 	}
-	if err := listRecords(ctx, store, storage.PrefixFinishedTasks, addFinishedTasks); err != nil {
+	if err := listRecords(ctx, t, storage.PrefixFinishedTasks, addFinishedTasks); err != nil {
 		return 0, nil, err
 	}
 	addRental := func(key string, version uint64, record storage.Rental) {
 		name := strings.TrimPrefix(key, storage.PrefixRental)
 		events = append(events, scheduler.RentalLoaded{Name: name, Version: version, Record: record})
 	}
-	if err := listRecords(ctx, store, storage.PrefixRental, addRental); err != nil {
+	if err := listRecords(ctx, t, storage.PrefixRental, addRental); err != nil {
 		return 0, nil, err
 	}
 	addRegistryPage := func(key string, version uint64, record storage.RegistryPage) {
 		name := strings.TrimPrefix(key, storage.PrefixRegistryPage)
 		events = append(events, scheduler.RegistryPageLoaded{Name: name, Version: version, Record: record})
 	}
-	if err := listRecords(ctx, store, storage.PrefixRegistryPage, addRegistryPage); err != nil {
+	if err := listRecords(ctx, t, storage.PrefixRegistryPage, addRegistryPage); err != nil {
 		return 0, nil, err
 	}
 	return revision, events, nil
@@ -70,9 +85,9 @@
 
 // listRecords reads and decodes all records whose keys have a prefix, and calls each for every record.
 func listRecords[T any](
-	ctx context.Context, store *storage.Store, prefix string, each func(key string, version uint64, record T),
+	ctx context.Context, t *termActor, prefix string, each func(key string, version uint64, record T),
 ) error {
-	_, err := store.List(ctx, prefix, func(kv protocol.KeyValue) error {
+	_, err := t.dispatcher.store.ListWithRetries(ctx, prefix, t.logLoadRetry, func(kv protocol.KeyValue) error {
 		var record T
 		if err := protocol.Decode(kv.Value, &record); err != nil {
 			return fmt.Errorf("decode record %s: %w", kv.Key, err)
@@ -86,14 +101,15 @@
 // readOpenJobs reads all open jobs and returns them as events. A watch that starts at the returned
 // revision misses no later change.
 func (t *termActor) readOpenJobs(ctx context.Context) (revision uint64, events []scheduler.Event, err error) {
-	revision, err = t.dispatcher.store.List(ctx, storage.PrefixOpenJob, func(kv protocol.KeyValue) error {
+	addJob := func(kv protocol.KeyValue) error {
 		change, err := t.decodeOpenJob(kv.Key, kv.Value, kv.Version)
 		if err != nil {
 			return err
 		}
 		events = append(events, change)
 		return nil
-	})
+	}
+	revision, err = t.dispatcher.store.ListWithRetries(ctx, storage.PrefixOpenJob, t.logLoadRetry, addJob)
 	return revision, events, err
 }
 
--- a/internal/coordination/leader/load_test.go
+++ b/internal/coordination/leader/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,7 @@
 	"quillshunt/internal/config"
 	"quillshunt/internal/coordination/election"
 	"quillshunt/internal/coordination/scheduler"
+	"quillshunt/internal/limits"
 	"quillshunt/internal/protocol"
 	"quillshunt/internal/storage"
 )
@@ -21,6 +23,25 @@
 func (r *replyRecorder) Redirect(protocol.Redirect)     {}
 func (r *replyRecorder) Reject()                        {}
 
+// TestLoadGoesOnAfterFailedPage guards against a term that never begins: the records take more requests than the
+// state service answers in a row, and a load that began anew after a failed page would never read them all.
+func TestLoadGoesOnAfterFailedPage(t *testing.T) {
+	const pages, rejectEvery = 8, 5
+	f := newWriterFixture(t)
+	for i := range pages * limits.StatePageSize {
+		f.putRecord(storage.OpenJobKey(fmt.Sprintf("job-%06d", i)), storage.OpenJob{
+			Spec: protocol.Spec{ID: "x", Team: "red", Shape: protocol.ShapeArray, Tasks: 1, CPUs: 1},
+		})
+	}
+	f.state.SetRejectEvery(rejectEvery)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	_, events, ok := f.actor.readRecordsWithRetries(ctx)
+	if !ok || len(events) != pages*limits.StatePageSize {
+		t.Errorf("%d of %d records are read within 10 s", len(events), pages*limits.StatePageSize)
+	}
+}
+
 // TestCancellationAgesWhileRecordsAreRead checks a new leader that takes long to read its records, after it
 // has read the record of a cancelled job. The time until then counts too: the leader must not renew the lease
 // of a worker that runs a task of the job beyond cancel_s of the cancellation.
--- a/internal/coordination/leader/writer_test.go
+++ b/internal/coordination/leader/writer_test.go
@@ -45,9 +45,15 @@
 
 // put stores a value and returns its version.
 func (f *writerFixture) put(key string, value int) uint64 {
+	f.t.Helper()
+	return f.putRecord(key, value)
+}
+
+// putRecord stores a record and returns its version.
+func (f *writerFixture) putRecord(key string, record any) uint64 {
 	f.t.Helper()
 	status, reply := f.state.CompareAndSwap(protocol.Transaction{
-		Operations: []protocol.Operation{{Put: key, Value: protocol.Encode(value)}},
+		Operations: []protocol.Operation{{Put: key, Value: protocol.Encode(record)}},
 	})
 	if status != http.StatusOK {
 		f.t.Fatalf("put %s: status %d", key, status)
--- a/internal/standin/state_faults.go
+++ b/internal/standin/state_faults.go
@@ -37,6 +37,13 @@
 	s.requestRate, s.operationRate = newRateLimiter(requests), newRateLimiter(operations)
 }
 
+// SetRejectEvery rejects one of that many requests, as if the request rate were exceeded. Zero rejects none.
+func (s *StateService) SetRejectEvery(requests int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rejectEvery = requests
+}
+
 // newRateLimiter returns a limiter of events per second, or nil for 0.
 func newRateLimiter(perSecond float64) *rate.Limiter {
 	if perSecond == 0 {
@@ -50,7 +57,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.requests++
-	if s.requestRate == nil || s.requestRate.Allow() {
+	isRejected := s.rejectEvery > 0 && s.requests%s.rejectEvery == 0
+	if !isRejected && (s.requestRate == nil || s.requestRate.Allow()) {
 		return true
 	}
 	s.rateLimitedRequests++
--- a/internal/standin/state_service.go
+++ b/internal/standin/state_service.go
@@ -32,6 +32,7 @@
 	limits                StateLimits
 	requestRate           *rate.Limiter // nil: unlimited
 	operationRate         *rate.Limiter // of operations in transactions; nil: unlimited
+	rejectEvery           int           // every request with a multiple of this number is rejected; 0: none
 	requests              int           // number of requests that have arrived
 	rateLimitedRequests   int           // number of requests that exceeded requestRate
 	oversizedTransactions int           // number of transactions that exceeded the limits
--- a/internal/storage/read.go
+++ b/internal/storage/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -51,10 +52,42 @@
 // visit returns an error, List stops and returns that error unchanged. It returns the revision of the
 // first page: a Watch from there misses no change, including those between two pages.
 func (s *Store) List(ctx context.Context, prefix string, visit func(protocol.KeyValue) error) (uint64, error) {
+	return s.list(ctx, prefix, visit, s.listPage)
+}
+
+// ListWithRetries is like List, but repeats the read of a page that the service did not execute or answer, until
+// the context ends. Pages that were read are not read again. It calls onRetry with the error before each
+// repetition.
+func (s *Store) ListWithRetries(
+	ctx context.Context, prefix string, onRetry func(error), visit func(protocol.KeyValue) error,
+) (uint64, error) {
+	return s.list(ctx, prefix, visit, func(ctx context.Context, prefix, after string) (protocol.KeyPage, error) {
+		var backoff Backoff
+		for {
+			page, err := s.listPage(ctx, prefix, after)
+			retryable := errors.Is(err, ErrNotExecuted) || errors.Is(err, ErrOutcomeUnknown)
+			if !retryable || ctx.Err() != nil {
+				return page, err
+			}
+			onRetry(err)
+			if !backoff.Wait(ctx) {
+				return page, err
+			}
+		}
+	})
+}
+
+// readPage reads one page of the keys with a prefix, which starts after the given key.
+type readPage func(ctx context.Context, prefix, after string) (protocol.KeyPage, error)
+
+// list reads all keys with a prefix, page by page; see List.
+func (s *Store) list(
+	ctx context.Context, prefix string, visit func(protocol.KeyValue) error, read readPage,
+) (uint64, error) {
 	var revision uint64
 	after, first := "", true
 	for {
-		page, err := s.listPage(ctx, prefix, after)
+		page, err := read(ctx, prefix, after)
 		if err != nil {
 			return 0, fmt.Errorf("list %s: %w", prefix, err)
 		}
