--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -64,6 +64,9 @@
 	controllers []*controller
 	links       map[string]*link // by linkName
 	recorder    *recorder
+
+	cancelNow chan struct{} // closed when some users cancel their jobs at the same time
+	closeOnce sync.Once     // closes cancelNow
 }
 
 // linkName returns the name of the link between two ends.
@@ -84,6 +87,7 @@
 	d := &deployment{
 		t: t, size: size, binary: binary, directory: directory, ctx: ctx, startedAt: time.Now(),
 		state: standin.NewStateService(), links: map[string]*link{}, recorder: newRecorder(),
+		cancelNow: make(chan struct{}),
 	}
 	d.state.SetRates(size.stateRPS, size.stateWriteRPS)
 	for i := range size.controllers {
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -1,93 +1,15 @@
 package soak
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
+	"quillshunt/internal/protocol"
 	"quillshunt/internal/storage"
 )
 
-// faultKind is a kind of fault.
-type faultKind string
-
-// The kinds of faults. Those with a duration end by themselves after it.
-const (
-	crash            faultKind = "crash"             // a controller ends and returns after the duration
-	crashAll         faultKind = "crash all"         // all controllers
-	roll             faultKind = "roll"              // one controller after the other
-	crashSeries      faultKind = "crash series"      // a controller again and again
-	pause            faultKind = "pause"             // a controller stands still while its clocks run
-	cutState         faultKind = "cut state"         // a controller loses the state service
-	cutStateReplies  faultKind = "cut state replies" // its requests arrive, the replies are held
-	cutStateAndPeers faultKind = "cut state and peers"
-	cutPeers         faultKind = "cut peers" // two controllers lose each other
-	refusePeers      faultKind = "refuse peers"
-	cutWorkers       faultKind = "cut workers"     // a controller does not receive heartbeats
-	deafWorkers      faultKind = "deaf workers"    // its replies to heartbeats are held
-	cutCloud         faultKind = "cut cloud"       // a controller loses the cloud
-	slowState        faultKind = "slow state"      // a controller's calls to the state service are delayed
-	refuseState      faultKind = "refuse state"    // the state service rejects one controller
-	outage           faultKind = "outage"          // the state service rejects all controllers
-	lateWrites       faultKind = "late writes"     // transactions are executed late and get no reply
-	lostReplies      faultKind = "lost replies"    // transactions are executed and get no reply
-	lateHeartbeats   faultKind = "late heartbeats" // copies of heartbeats arrive again later
-	hangMachines     faultKind = "hang machines"
-	killMachines     faultKind = "kill machines"
-)
-
-// faultKinds lists all kinds of faults.
-var faultKinds = []faultKind{
-	crash, crashAll, roll, crashSeries, pause, cutState, cutStateReplies, cutStateAndPeers, cutPeers, refusePeers,
-	cutWorkers, deafWorkers, cutCloud, slowState, refuseState, outage, lateWrites, lostReplies, lateHeartbeats,
-	hangMachines, killMachines,
-}
-
-// fault is one fault of a schedule. Times are in nanoseconds from the start of the run.
-type fault struct {
-	Kind  faultKind
-	At    time.Duration
-	For   time.Duration
-	First int    // index of the controller concerned
-	Other int    // index of another controller
-	Seed  uint64 // of the random choices of the fault
-}
-
-// schedule is all that makes a run differ from others.
-type schedule struct {
-	Seed    uint64
-	Seconds int // time in which faults begin
-	Faults  []fault
-}
-
-// newSchedule draws a schedule in which two or three faults overlap nearly all the time.
-func newSchedule(seed uint64, seconds, controllers int) schedule {
-	random := rand.New(rand.NewPCG(seed, 7))
-	s := schedule{Seed: seed, Seconds: seconds}
-	end := time.Duration(seconds) * time.Second
-	for lane := range 3 {
-		at := warmUp + time.Duration(lane)*time.Second
-		for at < end {
-			first := random.IntN(controllers)
-			f := fault{
-				Kind: faultKinds[random.IntN(len(faultKinds))], At: at, First: first,
-				Other: (first + 1 + random.IntN(controllers-1)) % controllers, Seed: random.Uint64(),
-				For: time.Duration(1+random.Int64N(11)) * time.Second,
-			}
-			if random.IntN(3) == 0 {
-				f.For = time.Duration(50+random.IntN(900)) * time.Millisecond
-			}
-			s.Faults = append(s.Faults, f)
-			at += f.For + time.Duration(random.Int64N(int64(4*time.Second)))
-		}
-	}
-	slices.SortStableFunc(s.Faults, func(a, b fault) int { return cmp.Compare(a.At, b.At) })
-	return s
-}
-
 // playFaults plays a schedule. It returns when all faults are over.
 func (d *deployment) playFaults(s schedule) {
 	var playing sync.WaitGroup
@@ -193,9 +115,14 @@
 		storage.SleepContext(d.ctx, f.For)
 		d.state.SetRejectedCaller(c.name, false)
 	case outage:
-		d.state.SetUnavailable(true)
-		storage.SleepContext(d.ctx, f.For)
-		d.state.SetUnavailable(false)
+		d.playOutage(f.For)
+	case refuseLeaderThenAll:
+		leader := d.leader(c)
+		d.state.SetRejectedCaller(leader.name, true)
+		d.closeOnce.Do(func() { close(d.cancelNow) })
+		storage.SleepContext(d.ctx, time.Second+time.Duration(random.Int64N(int64(2*time.Second))))
+		d.playOutage(f.For)
+		d.state.SetRejectedCaller(leader.name, false)
 	case lateWrites:
 		d.state.SetDelayedTransactions(func() (time.Duration, bool) {
 			return between(2*time.Second, 12*time.Second), chance(0.3)
@@ -226,6 +153,28 @@
 	}
 }
 
+// playOutage plays an outage of the state service.
+func (d *deployment) playOutage(duration time.Duration) {
+	d.state.SetUnavailable(true)
+	storage.SleepContext(d.ctx, duration)
+	d.state.SetUnavailable(false)
+}
+
+// leader returns the controller that leads according to the state service, or another one if none does.
+func (d *deployment) leader(other *controller) *controller {
+	stored, _ := d.state.Get(storage.KeyLeader)
+	var record storage.LeaderRecord
+	if protocol.Decode(stored.Value, &record) != nil {
+		return other
+	}
+	for _, c := range d.controllers {
+		if c.name == record.Node {
+			return c
+		}
+	}
+	return other
+}
+
 // setLinks sets the state of links for a time, and opens them then.
 func (d *deployment) setLinks(duration time.Duration, state linkState, names ...string) {
 	for _, name := range names {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -33,10 +33,10 @@
 	defaultSeeds   = "1-2"
 	defaultSeconds = 22
 	warmUp         = 4 * time.Second // before the first fault
-	// largeEvery is how many seeds there are for one run with a large fleet.
-	largeEvery = 5
-	// longestTask is the longest run time of a task, to which maxWaiting is added for a job to be done.
-	longestTask = 30 * time.Second
+	// runEvery is how many seeds there are for one run with a large fleet, and for one with a long outage.
+	runEvery      = 5
+	largeRun      = 0 // seed modulo runEvery
+	longOutageRun = 3
 	// machineReturn is the time in which machines without work are returned, unless they are younger than
 	// paidAge, for which the cloud charges in any case.
 	machineReturn = 45 * time.Second
@@ -50,16 +50,31 @@
 	firstJobs     int // submitted at the start
 	stateRPS      float64
 	stateWriteRPS float64
+	longestTask   time.Duration // run time of the longest tasks
+	longJobs      int           // jobs in ten that have these
+	longOutage    bool          // the faults are those of newLongOutage
 }
 
-// sizeOf returns the size of the run with a seed: a small or a large one, in which reads are scarce.
+// sizeOf returns the size of the run with a seed: a small or a large one, in which reads are scarce, or one with
+// a long outage, in which many jobs are cancelled that have long to go.
 func sizeOf(seed uint64) size {
-	if seed%largeEvery == 0 {
-		return size{
-			controllers: 5, jobInterval: 120 * time.Millisecond, firstJobs: 300, stateRPS: 60, stateWriteRPS: 30,
-		}
+	small := size{
+		controllers: 3, jobInterval: 700 * time.Millisecond, firstJobs: 5, stateRPS: 80, stateWriteRPS: 25,
+		longestTask: 30 * time.Second, longJobs: 1,
+	}
+	switch seed % runEvery {
+	case largeRun:
+		large := small
+		large.controllers, large.jobInterval, large.firstJobs = 5, 120*time.Millisecond, 300
+		large.stateRPS, large.stateWriteRPS = 60, 30
+		return large
+	case longOutageRun:
+		long := small
+		long.jobInterval, long.longOutage = 300*time.Millisecond, true
+		long.longestTask, long.longJobs = 60*time.Second, 6
+		return long
 	}
-	return size{controllers: 3, jobInterval: 700 * time.Millisecond, firstJobs: 5, stateRPS: 80, stateWriteRPS: 25}
+	return small
 }
 
 // TestSoak runs the program under random faults, and checks all rules from outside.
@@ -120,7 +135,7 @@
 	}
 	var all []schedule
 	for seed := from; seed <= to; seed++ {
-		all = append(all, newSchedule(seed, seconds, sizeOf(seed).controllers))
+		all = append(all, newSchedule(seed, seconds))
 	}
 	return all
 }
@@ -195,7 +210,7 @@
 	healedAt := d.since()
 	stopSubmitting()
 	<-submitted
-	unfinished := d.settle(maxWaiting + longestTask)
+	unfinished := d.settle(maxWaiting + size.longestTask)
 	left := d.waitForReturns(machineReturn)
 	stop()
 	u.group.Wait()
--- a/internal/soak/users_test.go
+++ b/internal/soak/users_test.go
@@ -49,8 +49,8 @@
 		Tasks: 1 + u.random.IntN(4), CPUs: 1, MemoryGB: 1, Spot: true, Image: "i",
 		EstimateS: 1 + 8*u.random.Float64(),
 	}
-	if u.random.IntN(10) == 0 {
-		spec.EstimateS = 30 // runs through a change of leader
+	if u.random.IntN(10) < u.d.size.longJobs {
+		spec.EstimateS = u.d.size.longestTask.Seconds()
 	}
 	user := &user{users: u, spec: spec, random: rand.New(rand.NewPCG(u.random.Uint64(), 3))}
 	u.group.Go(user.run)
@@ -61,6 +61,9 @@
 	users  *users
 	spec   protocol.Spec
 	random *rand.Rand
+
+	cancelNow <-chan struct{} // nil if this user does not cancel the job at the same time as others
+	cancelAt  time.Duration   // since the start of the run; negative: never
 }
 
 // run submits the job, asks about it until it has ended, and cancels it perhaps.
@@ -70,12 +73,9 @@
 		return
 	}
 	u.askAll()
-	cancelAt := time.Duration(-1)
-	if u.random.IntN(4) == 0 {
-		cancelAt = u.users.d.since() + time.Duration(u.random.Int64N(int64(12*time.Second)))
-	}
+	u.decideCancellation()
 	for u.users.ctx.Err() == nil {
-		if cancelAt >= 0 && u.users.d.since() >= cancelAt {
+		if u.cancelAt >= 0 && u.users.d.since() >= u.cancelAt {
 			u.cancel()
 			return
 		}
@@ -85,13 +85,36 @@
 			return
 		}
 		if status != http.StatusOK {
-			storage.SleepContext(u.users.ctx, time.Second)
+			u.wait(time.Second)
 			continue
 		}
 		if u.random.IntN(20) == 0 {
 			u.send(submission, u.randomNode()) // repeated
 		}
-		storage.SleepContext(u.users.ctx, time.Second+time.Duration(u.random.Int64N(int64(4*time.Second))))
+		u.wait(time.Second + time.Duration(u.random.Int64N(int64(4*time.Second))))
+	}
+}
+
+// decideCancellation decides whether and when the user cancels the job.
+func (u *user) decideCancellation() {
+	u.cancelAt = -1
+	if u.random.IntN(4) == 0 {
+		u.cancelAt = u.users.d.since() + time.Duration(u.random.Int64N(int64(12*time.Second)))
+	}
+	if u.users.d.size.longOutage && u.random.IntN(3) == 0 {
+		u.cancelNow = u.users.d.cancelNow
+	}
+}
+
+// wait waits for a time, or until the user is to cancel the job with others.
+func (u *user) wait(duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-u.users.ctx.Done():
+	case <-timer.C:
+	case <-u.cancelNow:
+		u.cancelNow, u.cancelAt = nil, 0
 	}
 }
 
