Soak: check a copy of the history

Cause, from the trace: the verdict read the recorder's history without its lock ("previous read" in checkTokens) while a machine younger than the time for which the cloud charges, which is left at the end of a run, still executed commands ("write" in recordExecution).

Change: run returns a copy that is taken under the lock.

--- a/internal/soak/recorder_test.go
+++ b/internal/soak/recorder_test.go
@@ -1,8 +1,11 @@
 package soak
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"sync"
+	"testing"
 
 	"quillshunt/internal/protocol"
 )
@@ -25,6 +28,20 @@
 	}
 }
 
+// snapshot returns a copy of the history. The recorder goes on: machines that are left still execute commands.
+func (r *recorder) snapshot() *history {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := r.history
+	h.Answers = slices.Clone(h.Answers)
+	h.TaskChanges = slices.Clone(h.TaskChanges)
+	h.Running = slices.Clone(h.Running)
+	h.Executions = slices.Clone(h.Executions)
+	h.EndedByItself = slices.Clone(h.EndedByItself)
+	h.Submitted = maps.Clone(h.Submitted)
+	return &h
+}
+
 // addJob records that a user is about to submit a job.
 func (r *recorder) addJob(spec protocol.Spec) {
 	r.mu.Lock()
@@ -151,3 +168,17 @@
 		}
 	}
 }
+
+// TestSnapshotDoesNotChange guards against a verdict on a history that is still being written.
+func TestSnapshotDoesNotChange(t *testing.T) {
+	d := &deployment{recorder: newRecorder()}
+	d.recordTaskChange("m-1", "job-1/0", true)
+	d.recordExecution("m-1", 1, 3)
+	h := d.recorder.snapshot()
+	d.recordExecution("m-1", 1, 4)
+	d.recorder.history.TaskChanges[0].Alone = false
+	d.recorder.addJob(protocol.Spec{ID: "job-2"})
+	if len(h.Executions) != 1 || !h.TaskChanges[0].Alone || len(h.Submitted) != 0 {
+		t.Errorf("the snapshot has changed: %+v", h)
+	}
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -215,9 +215,7 @@
 	stop()
 	u.group.Wait()
 
-	d.recorder.mu.Lock()
-	defer d.recorder.mu.Unlock()
-	h := &d.recorder.history
+	h := d.recorder.snapshot()
 	h.HealedAt, h.EndedAt = healedAt, d.since()
 	h.Unfinished, h.LeftMachines = unfinished, left
 	h.ErrorLines = d.errorLines()
