Write counts of outcomes as text in one place

Cause: on reading the change again, the leader's decisions and the gateway's requests each had a map of counts and a function that sorts and writes it, and the leader built a string for each heartbeat and command to find its count. Four branches of handleHeartbeat rejected and returned alike.

Change: metrics.Counts, keyed by kind and outcome without building text, serves both summaries; rejectionReason says in one place why a heartbeat is rejected before its machine is looked up. Three comments are reworded. The log lines and all decisions are the same.

Measured: go test of metrics, storage, gateway, leader, scheduler and controller passes, with a new test of the text.

--- a/internal/coordination/gateway/request_summary.go
+++ b/internal/coordination/gateway/request_summary.go
@@ -1,11 +1,7 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
-	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -13,33 +9,27 @@
 	"quillshunt/internal/metrics"
 )
 
-// requestKind is what the requests that a summary counts together have in common.
-type requestKind struct {
-	action  metrics.Action
-	outcome metrics.Outcome
-}
-
 // requestSummary counts the user requests since the last summary entry in the log. It is safe for concurrent
 // use, and its zero value is ready to use.
 type requestSummary struct {
 	mu      sync.Mutex
-	counts  map[requestKind]int
+	counts  metrics.Counts
 	longest time.Duration // time that the slowest request took
 }
 
 // add counts a request.
-func (s *requestSummary) add(kind requestKind, duration time.Duration) {
+func (s *requestSummary) add(action metrics.Action, outcome metrics.Outcome, duration time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.counts == nil {
-		s.counts = map[requestKind]int{}
+		s.counts = metrics.Counts{}
 	}
-	s.counts[kind]++
+	s.counts[metrics.CountKey{Kind: string(action), Outcome: string(outcome)}]++
 	s.longest = max(s.longest, duration)
 }
 
 // take returns the counts and the longest time since the last call.
-func (s *requestSummary) take() (counts map[requestKind]int, longest time.Duration) {
+func (s *requestSummary) take() (counts metrics.Counts, longest time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	counts, longest = s.counts, s.longest
@@ -50,7 +40,7 @@
 // countRequest counts a user request in the metrics and in the next summary entry of the log.
 func (g *Gateway) countRequest(action metrics.Action, outcome metrics.Outcome, duration time.Duration) {
 	g.metrics.CountRequest(action, outcome, duration)
-	g.summary.add(requestKind{action, outcome}, duration)
+	g.summary.add(action, outcome, duration)
 }
 
 // logSummaries logs the outcomes of the user requests at intervals of limits.SummaryInterval, unless there
@@ -68,25 +58,9 @@
 			if len(counts) == 0 {
 				continue
 			}
-			g.log.Info("user requests", "leader", g.leaderName(), "outcomes", formatCounts(counts),
+			g.log.Info("user requests", "leader", g.leaderName(), "outcomes", counts.String(),
 				"longest", longest.Round(time.Millisecond),
 				"state_failing", g.store.FailingFor().Round(time.Millisecond))
 		}
 	}
 }
-
-// formatCounts returns the counts as text such as "poll/cache=3 poll/state=40", in alphabetical order.
-func formatCounts(counts map[requestKind]int) string {
-	kinds := make([]requestKind, 0, len(counts))
-	for kind := range counts {
-		kinds = append(kinds, kind)
-	}
-	slices.SortFunc(kinds, func(a, b requestKind) int {
-		return cmp.Or(cmp.Compare(a.action, b.action), cmp.Compare(a.outcome, b.outcome))
-	})
-	texts := make([]string, len(kinds))
-	for i, kind := range kinds {
-		texts[i] = string(kind.action) + "/" + string(kind.outcome) + "=" + strconv.Itoa(counts[kind])
-	}
-	return strings.Join(texts, " ")
-}
--- a/internal/coordination/leader/effects.go
+++ b/internal/coordination/leader/effects.go
@@ -64,7 +64,7 @@
 // entry.
 func (t *termActor) writeLogEntry(ctx context.Context, entry scheduler.LogEntry) {
 	if entry.Message == scheduler.SummaryMessage {
-		entry.Args = append(entry.Args, "decisions", t.decisions.take())
+		entry.Args = append(entry.Args, "decisions", t.takeDecisions())
 		entry.Args = append(entry.Args, t.resourceUsage()...)
 	}
 	t.log.Log(ctx, entry.Level, entry.Message, entry.Args...)
--- a/internal/coordination/leader/term_actor.go
+++ b/internal/coordination/leader/term_actor.go
@@ -10,6 +10,7 @@
 	"quillshunt/internal/coordination/election"
 	"quillshunt/internal/coordination/scheduler"
 	"quillshunt/internal/limits"
+	"quillshunt/internal/metrics"
 	"quillshunt/internal/protocol"
 	"quillshunt/internal/transport"
 )
@@ -36,7 +37,7 @@
 	// Goroutines that probe machines read it.
 	lastSlowHeartbeatAt atomic.Int64
 	lastCounters        resourceCounters // at the last summary log entry
-	decisions           decisionCounts   // since the last summary log entry
+	decisions           metrics.Counts   // since the last summary log entry
 }
 
 // newTermActor returns the actor of a term that starts now.
@@ -51,7 +52,7 @@
 		dispatcher: d,
 		leadership: leadership,
 		startedAt:  time.Now(),
-		decisions:  decisionCounts{},
+		decisions:  metrics.Counts{},
 		log:        d.log.With("term", leadership.Term),
 		mailbox:    make(chan message, limits.MailboxSize(shares)),
 		toWriter:   make(chan scheduler.WriteRecords),
--- a/internal/coordination/scheduler/heartbeat.go
+++ b/internal/coordination/scheduler/heartbeat.go
@@ -9,20 +9,11 @@
 // and the worker has seen this term's fencing token.
 func (s *Scheduler) handleHeartbeat(e HeartbeatReceived) {
 	heartbeat := e.Heartbeat
-	switch {
-	case !e.Entitled:
-		s.rejectHeartbeat(e, WithheldNotEntitled)
-		return
-	case !heartbeat.IsValid():
-		s.rejectHeartbeat(e, WithheldMalformed)
+	if reason := s.rejectionReason(e); reason != "" {
+		s.rejectHeartbeat(e, reason)
 		return
-	case heartbeat.FencingToken > s.cfg.Term:
-		s.rejectHeartbeat(e, WithheldLaterTerm)
-		return
-	case s.inventory.isDeleted(heartbeat.Machine):
-		s.rejectHeartbeat(e, WithheldMachineDeleted)
-		return
-	case heartbeat.FencingToken < s.cfg.Term:
+	}
+	if heartbeat.FencingToken < s.cfg.Term {
 		s.replyToUnfencedHeartbeat(e)
 		return
 	}
@@ -37,6 +28,21 @@
 	}
 }
 
+// rejectionReason returns why a heartbeat is rejected whatever is known of its machine's tasks, or "".
+func (s *Scheduler) rejectionReason(e HeartbeatReceived) WithheldReason {
+	switch {
+	case !e.Entitled:
+		return WithheldNotEntitled
+	case !e.Heartbeat.IsValid():
+		return WithheldMalformed
+	case e.Heartbeat.FencingToken > s.cfg.Term:
+		return WithheldLaterTerm
+	case s.inventory.isDeleted(e.Heartbeat.Machine):
+		return WithheldMachineDeleted
+	}
+	return ""
+}
+
 // rejectHeartbeat answers a heartbeat without renewing the worker's lease.
 func (s *Scheduler) rejectHeartbeat(e HeartbeatReceived, reason WithheldReason) {
 	s.emit(HeartbeatReply{ReplyTo: e.ReplyTo, Reason: reason})
--- a/internal/coordination/scheduler/withheld.go
+++ b/internal/coordination/scheduler/withheld.go
@@ -15,15 +15,15 @@
 
 // The reasons for which a task is not started, or a direct command not sent, at this moment.
 const (
-	WithheldRecovery        WithheldReason = "recovery"          // a new leader does not know yet what runs where
-	WithheldUnregistered    WithheldReason = "unregistered"      // the machine's registration is not stored yet
-	WithheldResources       WithheldReason = "resources"         // its resources are not confirmed to be free
-	WithheldGang            WithheldReason = "gang"              // not all tasks of its gang can start
-	WithheldUnverified      WithheldReason = "unverified"        // replies are not known to reach the machine
-	WithheldUnreachable     WithheldReason = "unreachable"       // no heartbeat for a while, or a relayed one
-	WithheldCommandInFlight WithheldReason = "command_in_flight" // the last direct command has no outcome yet
-	WithheldBackoff         WithheldReason = "backoff"           // direct commands to the machine have failed
-	WithheldTooManyInFlight WithheldReason = "too_many_in_flight"
+	WithheldRecovery        WithheldReason = "recovery"           // a new leader does not know yet what runs where
+	WithheldUnregistered    WithheldReason = "unregistered"       // the machine's registration is not stored yet
+	WithheldResources       WithheldReason = "resources"          // its resources are not confirmed to be free
+	WithheldGang            WithheldReason = "gang"               // not all tasks of its gang can start
+	WithheldUnverified      WithheldReason = "unverified"         // replies are not known to reach the machine
+	WithheldUnreachable     WithheldReason = "unreachable"        // no heartbeat for a while, or a relayed one
+	WithheldCommandInFlight WithheldReason = "command_in_flight"  // the last direct command has no outcome yet
+	WithheldBackoff         WithheldReason = "backoff"            // direct commands to the machine have failed
+	WithheldTooManyInFlight WithheldReason = "too_many_in_flight" // to all machines together
 )
 
 // withhold counts commands that are not sent in this step.
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -69,6 +69,14 @@
 	m.CountViolation(InvariantAnswerAge)
 }
 
+// TestCountsAsText checks that counts are written in alphabetical order, first of the kinds.
+func TestCountsAsText(t *testing.T) {
+	counts := Counts{{"poll", "state"}: 40, {"cancel", "state"}: 2, {"poll", "cache"}: 3}
+	if text := counts.String(); text != "cancel/state=2 poll/cache=3 poll/state=40" {
+		t.Errorf("counts are %q", text)
+	}
+}
+
 // TestMetricsAddressInUse checks that an address that is taken is an error at once.
 func TestMetricsAddressInUse(t *testing.T) {
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -188,7 +188,7 @@
 	}
 }
 
-// remainingHang returns for how much longer the machine hangs; it does not hang if the result is 0 or less.
+// remainingHang returns for how much longer the machine hangs. A machine that does not hang has 0 or less left.
 func (w *worker) remainingHang() time.Duration { return time.Until(time.Unix(0, w.hungUntil.Load())) }
 
 // isLeaseExpired reports whether the worker's lease has expired. The caller holds mu.
@@ -213,8 +213,8 @@
 	reply  protocol.HeartbeatReply // for status 200
 }
 
-// sendHeartbeat sends a heartbeat and decodes the response. It also schedules a duplicate of the heartbeat if
-// heartbeatDuplicateDelay returns a delay.
+// sendHeartbeat sends a heartbeat and decodes the response. If the test has asked for duplicates, it also
+// schedules the later arrival of a copy; see heartbeatDuplicateDelay.
 func (w *worker) sendHeartbeat(
 	ctx context.Context, client *transport.Client, heartbeat protocol.Heartbeat,
 ) heartbeatResponse {
--- a/internal/storage/errors.go
+++ b/internal/storage/errors.go
@@ -11,8 +11,8 @@
 // or a function passed by the caller failed.
 var (
 	// ErrNotExecuted means that the request was not executed and never will be, so it may be repeated.
-	// Either the service rejected it (429 or 503), or it was not sent, for example because the wait for
-	// the client-side rate limit took too long.
+	// Either the service rejected it with a status that says so, or it was not sent, for example because the
+	// wait for the client-side rate limit took too long.
 	ErrNotExecuted = errors.New("state service did not execute the request")
 	// ErrRateLimited means that the service rejected the request because its own rate limit was exceeded
 	// (429). An error that wraps it also wraps ErrNotExecuted.
