Log and count what users and the load balancer see of a controller

On a site of our own with 4,000 machines the logs could not tell why jobs were without an answer: polls were counted as answered when the response was computed, and nothing showed health checks, connections, the event loop or the length of the leader's steps.

Now: polls count when their response is written, with the outcomes late and abandoned; a line "client side" every 10 s and the metrics beside it; longest step and longest wait of a question in the leader's summary; which share of the rate set the verdict on the state service. The age of unanswered questions is measured up to the written response. No behaviour towards users changes.

--- a/internal/coordination/controller/controller.go
+++ b/internal/coordination/controller/controller.go
@@ -96,6 +96,7 @@
 		LeaderName: c.elector.Leader,
 		UserSlots:  shares.UserSlots,
 		PollSlots:  shares.MaxInboundConns, // each connection has at most one request in progress
+		Activity:   func() transport.Activity { return c.clientServer.TakeActivity() },
 		Metrics:    c.metrics,
 		Log:        c.log,
 	})
--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"quillshunt/internal/metrics"
 	"quillshunt/internal/protocol"
 	"quillshunt/internal/storage"
+	"quillshunt/internal/transport"
 )
 
 // Options are the settings and dependencies of a Gateway.
@@ -25,10 +26,11 @@
 	Reader     *storage.BatchReader
 	Dispatcher *leader.Dispatcher
 	Peers      *peer.Peers
-	LeaderName func() string    // returns the name of the leading controller, or "" if none is known
-	UserSlots  int              // maximum number of submissions and cancellations handled at once
-	PollSlots  int              // maximum number of polls handled at once
-	Metrics    *metrics.Metrics // or nil
+	LeaderName func() string             // returns the name of the leading controller, or "" if none is known
+	UserSlots  int                       // maximum number of submissions and cancellations handled at once
+	PollSlots  int                       // maximum number of polls handled at once
+	Activity   func() transport.Activity // returns the activity of the server since the last call; or nil
+	Metrics    *metrics.Metrics          // or nil
 	Log        *slog.Logger
 }
 
@@ -46,6 +48,8 @@
 	metrics    *metrics.Metrics // or nil
 	log        *slog.Logger
 	summary    requestSummary
+	activity   func() transport.Activity
+	checks     healthCheckCounts
 
 	ctx context.Context // ends all work on requests; set by Start, because Handle has no context
 
@@ -73,6 +77,7 @@
 		dispatcher:  o.Dispatcher,
 		peers:       o.Peers,
 		leaderName:  o.LeaderName,
+		activity:    o.Activity,
 		metrics:     o.Metrics,
 		log:         o.Log,
 		userSlots:   make(chan struct{}, o.UserSlots),
--- a/internal/coordination/gateway/health.go
+++ b/internal/coordination/gateway/health.go
@@ -2,11 +2,21 @@
 
 import (
 	"net/http"
+	"time"
 
 	"quillshunt/internal/limits"
 	"quillshunt/internal/storage"
+	"quillshunt/internal/transport"
 )
 
+// answerHealthCheck answers a health check of the load balancer.
+func (g *Gateway) answerHealthCheck(rsp *transport.Responder) {
+	status := g.healthStatus()
+	g.checks.record(status, time.Now())
+	g.metrics.CountHealthCheck(status)
+	rsp.Respond(status, nil, 0)
+}
+
 // healthStatus returns the HTTP status of the health check. It is 503 while this controller cannot reach
 // the state service and another one can, so that users are served by that one. While no controller can
 // reach the state service it stays 200, because taking all of them out of service would not help any user.
--- a/internal/coordination/gateway/job_status.go
+++ b/internal/coordination/gateway/job_status.go
@@ -27,20 +27,9 @@
 	}
 }
 
-// getJob handles a poll of a job's status, which arrived at a time, and records whether it was answered.
-func (g *Gateway) getJob(ctx context.Context, id string, arrivedAt time.Time) response {
-	answer := g.answerPoll(ctx, id)
-	if answer.status == http.StatusServiceUnavailable {
-		g.recordUnanswered(id, arrivedAt, answer.outcome)
-	} else {
-		g.questions.recordAnswer(id)
-	}
-	return answer
-}
-
-// answerPoll answers a poll of a job's status. For an open job the response includes the numbers of done and
+// getJob answers a poll of a job's status. For an open job the response includes the numbers of done and
 // running tasks, if the leader replies in time.
-func (g *Gateway) answerPoll(ctx context.Context, id string) response {
+func (g *Gateway) getJob(ctx context.Context, id string) response {
 	if !protocol.IsValidJobID(id) {
 		return jobNotFoundResponse()
 	}
--- a/internal/coordination/gateway/request_summary.go
+++ b/internal/coordination/gateway/request_summary.go
@@ -7,6 +7,7 @@
 
 	"quillshunt/internal/limits"
 	"quillshunt/internal/metrics"
+	"quillshunt/internal/transport"
 )
 
 // requestSummary counts the user requests since the last summary entry in the log. It is safe for concurrent
@@ -43,8 +44,8 @@
 	g.summary.add(action, outcome, duration)
 }
 
-// logSummaries logs the outcomes of the user requests at intervals of limits.SummaryInterval, unless there
-// were none, until the context ends. At the same intervals it removes old ages of questions.
+// logSummaries logs the state of the client side, and the outcomes of the user requests unless there were none, at
+// intervals of limits.SummaryInterval until the context ends. At the same intervals it removes old ages of questions.
 func (g *Gateway) logSummaries(ctx context.Context) {
 	ticker := time.NewTicker(limits.SummaryInterval)
 	defer ticker.Stop()
@@ -54,6 +55,7 @@
 			return
 		case <-ticker.C:
 			g.questions.forgetOld(time.Now())
+			g.logClientSide()
 			counts, longest := g.summary.take()
 			if len(counts) == 0 {
 				continue
@@ -64,3 +66,28 @@
 		}
 	}
 }
+
+// logClientSide logs what users, machines and the load balancer see of this controller, and records it in the
+// metrics.
+func (g *Gateway) logClientSide() {
+	var activity transport.Activity
+	if g.activity != nil {
+		activity = g.activity()
+	}
+	g.metrics.RecordConnections(metrics.Connections{
+		Machines: activity.Machines, Users: activity.Users, Silent: activity.Silent, Refused: activity.Refused,
+		LoopDelay: activity.LoopDelay, TimerDelay: activity.TimerDelay,
+	})
+	passed, failed, gap := g.checks.take(time.Now())
+	reads := g.reader.TakeStatistics(time.Now())
+	g.metrics.SetOldestRead(reads.OldestWaiting)
+	round := func(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+	g.log.Info("client side", "leader", g.leaderName(),
+		"health_checks", passed, "failed_checks", failed, "check_gap", round(gap),
+		"users", activity.Users, "machines", activity.Machines, "silent", activity.Silent,
+		"oldest_silent", round(activity.OldestSilent), "connections_refused", activity.Refused,
+		"loop_delay", round(activity.LoopDelay), "timer_delay", round(activity.TimerDelay),
+		"reads", reads.Keys, "pages", reads.Pages, "read_answers", reads.Answered, "read_bytes", reads.Bytes,
+		"waiting_reads", reads.Waiting, "oldest_read", round(reads.OldestWaiting),
+		"state_failing", round(g.store.FailingFor()), "state_failed_call", g.store.LastFailedShare())
+}
--- a/internal/coordination/gateway/routes.go
+++ b/internal/coordination/gateway/routes.go
@@ -48,7 +48,7 @@
 			rsp.Respond(http.StatusMethodNotAllowed, nil, 0)
 			return
 		}
-		rsp.Respond(g.healthStatus(), nil, 0)
+		g.answerHealthCheck(rsp)
 	case heartbeatPath:
 		if req.Method != http.MethodPost {
 			rsp.Respond(http.StatusMethodNotAllowed, nil, 0)
--- a/internal/coordination/gateway/users.go
+++ b/internal/coordination/gateway/users.go
@@ -27,44 +27,43 @@
 	if route.action == actionStatus {
 		slots = g.pollSlots
 	}
-	arrivedAt := time.Now()
+	request := &requestInProgress{route: route, body: req.Body, arrivedAt: time.Now()}
 	select {
 	case slots <- struct{}{}:
+		rsp.OnDelivery(func(delivery transport.Delivery) { g.recordDelivery(request, delivery) })
 		go func() {
 			defer func() { <-slots }()
-			response := g.serveUserRequest(route, req.Body, arrivedAt, rsp)
-			duration := time.Since(arrivedAt)
-			g.countRequest(metricActions[route.action], response.outcome, duration)
-			g.log.Debug("user request handled", "path", req.Path, "status", response.status,
-				"reason", response.outcome, "duration", duration)
+			g.serveUserRequest(request, rsp)
+			g.log.Debug("user request handled", "path", req.Path, "status", request.response.status,
+				"reason", request.response.outcome, "duration", time.Since(request.arrivedAt))
 		}()
 	default:
-		g.rejectUserRequest(route, req.Body, arrivedAt, rsp)
+		g.rejectUserRequest(request, rsp)
 	}
 }
 
 // rejectUserRequest responds to a user request for which there is no free slot. It asks the user to retry,
 // unless the request can never succeed.
-func (g *Gateway) rejectUserRequest(route userRoute, body []byte, arrivedAt time.Time, rsp *transport.Responder) {
+func (g *Gateway) rejectUserRequest(request *requestInProgress, rsp *transport.Responder) {
+	route := request.route
 	switch {
 	case route.action != actionSubmit && !protocol.IsValidJobID(route.jobID):
 		rsp.Respond(http.StatusNotFound, nil, 0)
-	case route.action == actionSubmit && g.isMalformed(body):
+	case route.action == actionSubmit && g.isMalformed(request.body):
 		rsp.Respond(http.StatusBadRequest, nil, 0)
 	default:
 		rsp.Respond(http.StatusServiceUnavailable, nil, limits.MinRetryAfterSeconds)
 		g.countRequest(metricActions[route.action], metrics.OutcomeNoSlot, 0)
 		if route.action == actionStatus {
-			g.recordUnanswered(route.jobID, arrivedAt, metrics.OutcomeNoSlot)
+			g.recordUnanswered(route.jobID, request.arrivedAt, metrics.OutcomeNoSlot)
 		}
 	}
 }
 
-// serveUserRequest executes a user request, sends the response and returns it.
-func (g *Gateway) serveUserRequest(
-	route userRoute, body []byte, arrivedAt time.Time, rsp *transport.Responder,
-) response {
-	response := g.executeUserAction(route, body, arrivedAt)
+// serveUserRequest executes a user request and sends the response.
+func (g *Gateway) serveUserRequest(request *requestInProgress, rsp *transport.Responder) {
+	response := g.executeUserAction(request.route, request.body)
+	request.response = response
 	retryAfter := 0
 	if response.status == http.StatusServiceUnavailable {
 		failingFor := g.store.FailingFor()
@@ -77,11 +76,10 @@
 		}
 	}
 	rsp.Respond(response.status, response.body, retryAfter)
-	return response
 }
 
 // executeUserAction executes the action that a user requests, within the time limit of the action.
-func (g *Gateway) executeUserAction(route userRoute, body []byte, arrivedAt time.Time) response {
+func (g *Gateway) executeUserAction(route userRoute, body []byte) response {
 	timeout := limits.SubmitTimeout
 	if route.action == actionStatus {
 		timeout = limits.PollTimeout
@@ -94,6 +92,6 @@
 	case actionCancel:
 		return g.cancelJob(ctx, route.jobID)
 	default:
-		return g.getJob(ctx, route.jobID, arrivedAt)
+		return g.getJob(ctx, route.jobID)
 	}
 }
--- a/internal/coordination/leader/dispatcher.go
+++ b/internal/coordination/leader/dispatcher.go
@@ -133,7 +133,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limits.TaskCountsTimeout)
 	defer cancel()
 	reply := make(chan scheduler.TaskCounts, 1)
-	counts, ok := requestReply(ctx, t, taskCountsMessage{job: job, reply: reply}, reply)
+	counts, ok := requestReply(ctx, t, taskCountsMessage{job: job, sentAt: time.Now(), reply: reply}, reply)
 	return peer.TaskCounts{Done: counts.Done, Running: counts.Running}, ok && counts.Known
 }
 
@@ -155,7 +155,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limits.CancelConfirmTimeout)
 	defer cancel()
 	reply := make(chan bool, 1)
-	entitled, ok := requestReply(ctx, t, cancellationMessage{change: change, reply: reply}, reply)
+	entitled, ok := requestReply(ctx, t, cancellationMessage{change: change, sentAt: time.Now(), reply: reply}, reply)
 	return ok && entitled
 }
 
--- a/internal/coordination/leader/messages.go
+++ b/internal/coordination/leader/messages.go
@@ -27,14 +27,16 @@
 
 // taskCountsMessage requests the task counts of a job.
 type taskCountsMessage struct {
-	job   string
-	reply chan scheduler.TaskCounts
+	job    string
+	sentAt time.Time
+	reply  chan scheduler.TaskCounts
 }
 
 // cancellationMessage passes the record of a cancelled job to the scheduler. The reply is whether this
 // leader was still entitled after the scheduler had processed the record.
 type cancellationMessage struct {
 	change scheduler.JobChanged
+	sentAt time.Time
 	reply  chan bool
 }
 
--- a/internal/coordination/leader/term_actor.go
+++ b/internal/coordination/leader/term_actor.go
@@ -31,7 +31,11 @@
 	workerClients workerClientPool
 	probeSlots    chan struct{} // limits concurrent probes: a new leader probes all machines at once
 
-	longestMailboxWait time.Duration // of a heartbeat, since the last summary log entry
+	// The longest times since the last summary log entry.
+	longestMailboxWait  time.Duration // of a heartbeat
+	longestQuestionWait time.Duration // of a question about task counts or a cancellation
+	longestStep         time.Duration // of the scheduler
+
 	// lastSlowHeartbeatAt is when the actor last handled a heartbeat that had waited in the mailbox for
 	// longer than limits.SlowHeartbeatThreshold, in nanoseconds since the term began; 0 if none has.
 	// Goroutines that probe machines read it.
@@ -118,8 +122,10 @@
 		t.leadership.SetObservedRevision(msg.revision)
 		t.dispatcher.metrics.SetObservedRevision(msg.revision)
 	case taskCountsMessage:
+		t.recordQuestionWait(msg.sentAt)
 		t.step(ctx, scheduler.TaskCountsRequested{JobID: msg.job, ReplyTo: msg.reply})
 	case cancellationMessage:
+		t.recordQuestionWait(msg.sentAt)
 		t.step(ctx, msg.change)
 		msg.reply <- t.leadership.IsEntitled()
 	case statusMessage:
@@ -157,11 +163,19 @@
 	if change, ok := event.(scheduler.JobChanged); ok {
 		event = t.addTimesSince(change)
 	}
-	for _, effect := range t.scheduler.Step(event, t.now()) {
+	startedAt := t.now()
+	effects := t.scheduler.Step(event, startedAt)
+	t.longestStep = max(t.longestStep, t.now()-startedAt)
+	for _, effect := range effects {
 		t.executeEffect(ctx, effect)
 	}
 }
 
+// recordQuestionWait records how long a question of a user that is handled now has waited in the mailbox.
+func (t *termActor) recordQuestionWait(sentAt time.Time) {
+	t.longestQuestionWait = max(t.longestQuestionWait, time.Since(sentAt))
+}
+
 // rejectQueuedHeartbeats answers the heartbeats left in the mailbox with 503.
 func (t *termActor) rejectQueuedHeartbeats() {
 	for {
--- a/internal/coordination/leader/usage.go
+++ b/internal/coordination/leader/usage.go
@@ -15,7 +15,8 @@
 }
 
 // resourceUsage returns the resource usage of the process as arguments of the log's summary entry: the
-// number of messages in the mailbox, the longest wait of a heartbeat there, the heap memory, the write
+// number of messages in the mailbox, the longest wait there of a heartbeat and of a question of a user, the longest
+// step of the scheduler, the heap memory, the write
 // operations sent to the state service, the calls that it rejected, and the processor cores used. All
 // but the number of messages and the heap memory cover the time since the previous summary.
 func (t *termActor) resourceUsage() []any {
@@ -27,11 +28,13 @@
 	args := []any{
 		"mailbox", len(t.mailbox),
 		"longest_wait", t.longestMailboxWait.Round(time.Millisecond),
+		"longest_question_wait", t.longestQuestionWait.Round(time.Millisecond),
+		"longest_step", t.longestStep.Round(time.Millisecond),
 		"heap_mb", heap[0].Value.Uint64() >> 20,
 		"writes", t.lastCounters.writeOperations - last.writeOperations,
 		"refused", t.lastCounters.rejectedCalls - last.rejectedCalls,
 	}
-	t.longestMailboxWait = 0
+	t.longestMailboxWait, t.longestQuestionWait, t.longestStep = 0, 0, 0
 	var usage syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
 		return args
--- a/internal/limits/gateway.go
+++ b/internal/limits/gateway.go
@@ -4,6 +4,10 @@
 
 // User requests.
 const (
+	// UserPollPatience and UserSubmitPatience are the times for which users wait for the response to a poll, and
+	// to a submission or cancellation. They are set by the protocol.
+	UserPollPatience   = 2 * time.Second
+	UserSubmitPatience = 5 * time.Second
 	// PollTimeout is the time within which every poll is answered. The client's timeout is 2 s.
 	PollTimeout = 1800 * time.Millisecond
 	// SubmitTimeout is the time within which submissions and cancellations are answered. The client's
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -28,6 +28,7 @@
 	commands      *prometheus.CounterVec
 	withheld      *prometheus.CounterVec
 	violations    *prometheus.CounterVec
+	clientSide    clientSide
 }
 
 // Action is the kind of a user request.
@@ -54,6 +55,8 @@
 	OutcomeStateFailing            Outcome = "state_failing"            // the state service rejects or does not reply
 	OutcomeCancellationUnconfirmed Outcome = "cancellation_unconfirmed" // stored, but no leader is certain to act on it
 	OutcomeTimeout                 Outcome = "timeout"                  // the time for the request was over
+	OutcomeLate                    Outcome = "late"                     // answered after the user had given up
+	OutcomeAbandoned               Outcome = "abandoned"                // the connection ended before the response
 	OutcomeOther                   Outcome = "other"
 )
 
@@ -134,9 +137,11 @@
 		violations: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "invariant_violations_total", Help: "Violations of invariants; must stay 0.",
 		}, []string{"invariant"}),
+		clientSide: newClientSide(),
 	}
 	m.registry.MustRegister(m.requests, m.latency, m.rateWait, m.stateCalls, m.stateRevision, m.leading,
 		m.fencingToken, m.mailbox, m.mailboxAge, m.heartbeats, m.commands, m.withheld, m.violations)
+	m.registry.MustRegister(m.clientSide.collectors()...)
 	return m
 }
 
--- a/internal/storage/batch_reader.go
+++ b/internal/storage/batch_reader.go
@@ -38,6 +38,7 @@
 	// pageThresholds holds the number of waiting keys with a prefix from which a page is read, by prefix, if
 	// it is not limits.MinPageReads.
 	pageThresholds map[string]int
+	statistics     ReadStatistics // since the last call of TakeStatistics, without the reads that wait
 }
 
 // keyRead is a key that callers wait for.
@@ -291,6 +292,7 @@
 	if err != nil {
 		return []*keyRead{read}, err
 	}
+	r.countRead(false, len(read.callers), len(value.Value))
 	read.reply(readResult{value: value})
 	return nil, nil
 }
@@ -321,6 +323,7 @@
 		}
 		read.reply(readResult{value: values[read.key]})
 	}
+	r.countRead(true, len(batch)-len(unread), pageBytes(page))
 	r.finishPage(prefix, last, len(batch)-len(unread), len(batch))
 	return unread, nil
 }
--- a/internal/storage/health.go
+++ b/internal/storage/health.go
@@ -11,25 +11,26 @@
 
 // serviceHealth records the outcomes of calls to the service. Times are Unix nanoseconds.
 type serviceHealth struct {
-	failingSince    atomic.Int64 // start of the first failed call since the last success; 0 if the last call succeeded
-	recoveredAt     atomic.Int64 // when a call succeeded after the last failed ones; 0 if none has failed yet
-	lastCallAt      atomic.Int64 // start of the last call
-	writeOperations atomic.Int64 // operations sent in transactions
-	rejectedCalls   atomic.Int64 // calls that the service rejected with 429 or 503
+	failedShare     atomic.Pointer[string] // share of the last failed call; nil if none has failed yet
+	failingSince    atomic.Int64           // start of the first failed call since the last success; 0 if there is none
+	recoveredAt     atomic.Int64           // when a call succeeded after the last failed ones; 0 if none has failed yet
+	lastCallAt      atomic.Int64           // start of the last call
+	writeOperations atomic.Int64           // operations sent in transactions
+	rejectedCalls   atomic.Int64           // calls that the service rejected with 429 or 503
 }
 
 func (h *serviceHealth) recordStart(startedAt time.Time) { h.lastCallAt.Store(startedAt.UnixNano()) }
 
 // recordOutcome records the outcome of a call. A 429 counts as a success: it shows that the service
 // works.
-func (h *serviceHealth) recordOutcome(startedAt time.Time, reply *transport.Message, err error) {
+func (h *serviceHealth) recordOutcome(share string, startedAt time.Time, reply *transport.Message, err error) {
 	if err != nil {
-		h.failingSince.CompareAndSwap(0, startedAt.UnixNano())
+		h.recordFailure(share, startedAt)
 		return
 	}
 	switch reply.Status {
 	case http.StatusServiceUnavailable:
-		h.failingSince.CompareAndSwap(0, startedAt.UnixNano())
+		h.recordFailure(share, startedAt)
 		h.rejectedCalls.Add(1)
 	case http.StatusTooManyRequests:
 		h.recordSuccess()
@@ -39,6 +40,11 @@
 	}
 }
 
+func (h *serviceHealth) recordFailure(share string, startedAt time.Time) {
+	h.failedShare.Store(&share)
+	h.failingSince.CompareAndSwap(0, startedAt.UnixNano())
+}
+
 func (h *serviceHealth) recordSuccess() {
 	if h.failingSince.Swap(0) != 0 {
 		h.recoveredAt.Store(time.Now().UnixNano())
@@ -62,6 +68,15 @@
 	return 0
 }
 
+// LastFailedShare returns the share of the rate limits to which the last failed call belonged, or "" if none has
+// failed yet.
+func (s *Store) LastFailedShare() string {
+	if share := s.health.failedShare.Load(); share != nil {
+		return *share
+	}
+	return ""
+}
+
 // Counters returns how many operations were sent in transactions, and how many calls the service
 // rejected, since New. They are for the log.
 func (s *Store) Counters() (writeOperations, rejectedCalls int64) {
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -101,7 +101,7 @@
 	startedAt := time.Now()
 	s.health.recordStart(startedAt)
 	reply, err := s.client.Do(callCtx, method, target, body)
-	s.health.recordOutcome(startedAt, reply, err)
+	s.health.recordOutcome(s.share, startedAt, reply, err)
 	s.metrics.CountStateCall(s.share, callResult(ctx, reply, err))
 	return checkReply(reply, err)
 }
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -31,6 +31,10 @@
 	closing           bool // no more requests are read; the event loop closes the connection
 	discardingInput   bool // a request was rejected as too large; what still arrives is discarded
 	fromMachine       bool // counted in Server.machineConns
+	hasRequested      bool // a request has arrived
+	openedAt          time.Time
+	requestArrivedAt  time.Time      // when the first bytes of the current request were read
+	onDelivery        func(Delivery) // of the current request, or nil
 
 	mu                 sync.Mutex // not held while a method of gnet is called
 	lastStatus         int        // status of the last response, or 0 before the first
--- a/internal/transport/events.go
+++ b/internal/transport/events.go
@@ -23,6 +23,8 @@
 
 	loop     atomic.Pointer[gnet.EventLoop] // nil until the first connection is opened
 	watchdog *loopWatchdog                  // owned by the ticker's goroutine
+
+	lastTickAt time.Time // owned by the ticker's goroutine
 }
 
 // newEventHandler returns the handler for one run of the event loop, which ends when ctx is done.
@@ -50,9 +52,11 @@
 	}
 	options := &e.server.options
 	if len(e.conns) >= options.MaxConns || !options.Sockets.acquireInbound() {
+		e.server.activity.recordRefused()
 		return nil, gnet.Close
 	}
-	c := &serverConn{decoder: NewRequestDecoder(limits.MaxBodyBytes), lastActive: time.Now()}
+	now := time.Now()
+	c := &serverConn{decoder: NewRequestDecoder(limits.MaxBodyBytes), openedAt: now, lastActive: now}
 	conn.SetContext(c)
 	e.conns[conn] = c
 	return nil, gnet.None
@@ -64,6 +68,7 @@
 	if c := e.conns[conn]; c != nil {
 		delete(e.conns, conn)
 		e.server.release(c)
+		c.finishDelivery(false)
 	}
 	return gnet.None
 }
@@ -92,6 +97,7 @@
 	if _, err := conn.Write(out); err != nil {
 		return gnet.Close
 	}
+	c.finishDelivery(true)
 	return action
 }
 
@@ -99,8 +105,15 @@
 // so since the tick before. gnet calls it in the ticker's goroutine.
 func (e *eventHandler) OnTick() (time.Duration, gnet.Action) {
 	loop := e.loop.Load()
+	tickedAt := time.Now()
+	timerDelay := time.Duration(0)
+	if !e.lastTickAt.IsZero() {
+		timerDelay = max(0, tickedAt.Sub(e.lastTickAt)-limits.ConnSweepInterval)
+	}
+	e.lastTickAt = tickedAt
 	if loop != nil && e.watchdog.beginTurn() {
 		_ = (*loop).Execute(e.ctx, gnet.RunnableFunc(func(context.Context) error {
+			e.server.activity.recordDelays(time.Since(tickedAt), timerDelay)
 			e.closeTimedOutConns(*loop)
 			e.watchdog.endTurn()
 			return nil
@@ -113,11 +126,14 @@
 // too long to arrive. It runs on the event loop.
 func (e *eventHandler) closeTimedOutConns(loop gnet.EventLoop) {
 	now := time.Now()
+	var counted Activity
 	for conn, c := range e.conns {
+		counted.count(c, now)
 		if now.Sub(c.lastActive) > e.server.idleLimit(c) {
 			_ = loop.Close(conn)
 		}
 	}
+	e.server.activity.recordConnections(counted)
 }
 
 // releaseConns releases the sockets of the connections that are still registered after the event loop has
@@ -126,6 +142,7 @@
 	for conn, c := range e.conns {
 		delete(e.conns, conn)
 		e.server.release(c)
+		c.finishDelivery(false)
 	}
 }
 
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -44,6 +44,7 @@
 	options      ServerOptions
 	machineConns atomic.Int64 // open connections from machines
 	loopStalled  atomic.Int64 // see LoopStalledFor, in nanoseconds
+	activity     activityRecorder
 
 	handlerMu sync.Mutex // held by ServeConn while the handler runs; Run has one goroutine for it
 }
@@ -60,6 +61,7 @@
 	defer conn.Close()
 	c := &serverConn{decoder: NewRequestDecoder(limits.MaxBodyBytes)}
 	defer func() {
+		c.finishDelivery(false)
 		if c.fromMachine {
 			s.machineConns.Add(-1)
 		}
@@ -79,8 +81,11 @@
 			c.decoder.Feed(buf[:n])
 			continue
 		}
+		c.requestArrivedAt = time.Now()
 		response, closing := s.handleAndAwaitResponse(c, req)
-		if _, err := conn.Write(response); err != nil || closing {
+		_, err = conn.Write(response)
+		c.finishDelivery(err == nil)
+		if err != nil || closing {
 			return
 		}
 	}
@@ -210,7 +215,8 @@
 
 // handle passes a request to the handler. The response may be ready when it returns.
 func (s *Server) handle(conn gnet.Conn, c *serverConn, req *Message) {
-	c.requestInProgress = true
+	c.requestInProgress, c.hasRequested = true, true
+	c.requestArrivedAt = c.lastActive
 	r := &Responder{conn: c, wake: func() { _ = conn.Wake(nil) }, server: s, onEventLoop: true}
 	c.setCloseAfterResponse(req.Close)
 	s.options.Handle(req, r)
