Scheduler: passes and plans leave time for heartbeats, and reservations are cheap

Users saw: after long troubles at 4,000 machines jobs were without an answer for minutes, and leaders were replaced again and again although all was well.

Cause: an unbounded use of one shared resource, the turns of the leader's actor. Every heartbeat that ended a task made a placement pass, and in it each job that had waited for more than 150 s sorted all machines to reserve one. Jobs of a team at its limit examined all machines as well. Nothing bounded the time of passes and plans, so heartbeats and questions waited behind them, leases expired, tasks were lost, more jobs starved, and passes cost more: it does not end when the troubles do.

Change: reservations keep one sorted order for a pass, which is updated where a machine changed; they choose the same machines (TestReservationOrderMatchesSort). A job whose team is at its limit is not searched for. The actor tells the scheduler how long a step took, and passes take at most 0.3 and plans 0.2 of the time; without that call decisions are as before.

--- a/internal/coordination/leader/term_actor.go
+++ b/internal/coordination/leader/term_actor.go
@@ -165,7 +165,9 @@
 	}
 	startedAt := t.now()
 	effects := t.scheduler.Step(event, startedAt)
-	t.longestStep = max(t.longestStep, t.now()-startedAt)
+	took := t.now() - startedAt
+	t.longestStep = max(t.longestStep, took)
+	t.scheduler.RecordDuration(took)
 	for _, effect := range effects {
 		t.executeEffect(ctx, effect)
 	}
--- a/internal/coordination/scheduler/assignment_table.go
+++ b/internal/coordination/scheduler/assignment_table.go
@@ -37,6 +37,7 @@
 	}
 	j.addAssignment(a)
 	m.addAssignment(a)
+	t.placement.handleResourcesChanged(m)
 	t.gangs.markChanged(j.gang)
 	t.dispatcher.enqueue(m)
 	return a
@@ -52,6 +53,7 @@
 	t.gangs.handleTaskLost(a)
 	a.job.removeAssignment(a)
 	a.machine.removeAssignment(a, t.now)
+	t.placement.handleResourcesChanged(a.machine)
 	t.placement.requestPass()
 	t.gangs.requestCommit()
 }
@@ -104,6 +106,7 @@
 		t.dispatcher.enqueueUrgent(a.machine)
 	}
 	a.machine.stoppingResources = a.machine.stoppingResources.Plus(a.job.demand)
+	t.placement.handleResourcesChanged(a.machine)
 	t.logInfo("stopping task", keyJob, a.job.id, keyTask, a.index, keyAttempt, a.attempt,
 		keyMachine, a.machine.name, keyReason, reason)
 }
--- a/internal/coordination/scheduler/capacity_planner.go
+++ b/internal/coordination/scheduler/capacity_planner.go
@@ -38,15 +38,11 @@
 // requestPlan makes the next plan due at the next tick.
 func (p *capacityPlanner) requestPlan() { p.nextPlanAt = 0 }
 
-// scheduleNextIfDue reports whether a plan is due. If so, it schedules the next one after PlanInterval. No
-// plan is due before the machine types are known.
-func (p *capacityPlanner) scheduleNextIfDue() bool {
-	if p.now < p.nextPlanAt || p.catalog.isEmpty() {
-		return false
-	}
-	p.nextPlanAt = p.now + limits.PlanInterval
-	return true
-}
+// isDue reports whether a plan is due. None is before the machine types are known.
+func (p *capacityPlanner) isDue() bool { return p.now >= p.nextPlanAt && !p.catalog.isEmpty() }
+
+// scheduleNext makes the next plan due after PlanInterval.
+func (p *capacityPlanner) scheduleNext() { p.nextPlanAt = p.now + limits.PlanInterval }
 
 // maxMachines returns the largest allowed number of machines in the fleet: the option max_machines if it is
 // set, or else a number that is never reached.
--- a/internal/coordination/scheduler/doc.go
+++ b/internal/coordination/scheduler/doc.go
@@ -27,6 +27,7 @@
 //   - finishedTaskWriter: durable records of finished tasks
 //   - recoveryState: whether a new term already knows all tasks that may be running
 //   - machineProber: probes, which request the task lists of unreported and unverified machines
+//   - decisionPacer: the share of time that passes and plans may take
 //   - jobQueue: order of the jobs, guarantees, slack and aging
 //   - placer: the scheduling pass
 //   - gangTable, gangReservations: jobs whose tasks start together, and the machines reserved for them
--- a/internal/coordination/scheduler/fleet.go
+++ b/internal/coordination/scheduler/fleet.go
@@ -11,7 +11,8 @@
 	s.registry.writePages()
 	s.returnUnusableMachines()
 	s.prober.probeDueMachines()
-	if s.canPlanCapacity() && s.planner.scheduleNextIfDue() {
+	if s.canPlanCapacity() && s.planner.isDue() && s.pacer.tryBeginPlan() {
+		s.planner.scheduleNext()
 		s.planCapacity()
 	}
 	s.requestDeletions()
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -12,6 +12,9 @@
 		s.withhold(WithheldRecovery, 1)
 		return
 	}
+	if !s.pacer.tryBeginPass() {
+		return
+	}
 	jobs := s.placement.collectJobs()
 	if len(jobs) == 0 && !s.gangs.hasReplacementRequests() {
 		return
@@ -50,6 +53,9 @@
 // scores all machines once. After each placement only the machine that was used is scored again, unless
 // the placement affects other machines too.
 func (s *Scheduler) placeJob(j *job, count int) {
+	if !j.team.isWithinLimit(j.demand) {
+		return
+	}
 	search, ok := s.placement.newSearch(j)
 	if !ok {
 		return
--- a/internal/coordination/scheduler/placer.go
+++ b/internal/coordination/scheduler/placer.go
@@ -42,8 +42,8 @@
 	unplaceable      map[placementRequest]bool // requests for which no machine was found in this pass
 	unplaceableGangs map[gangRequest]bool
 
-	groups                placement.ScoreGroups[*machine] // reused between calls of collectCandidates
-	reservationCandidates []*machine                      // reused between calls of reserveForJob
+	groups     placement.ScoreGroups[*machine] // reused between calls of collectCandidates
+	unreserved reservationOrder                // machines that reserveForJob may reserve
 }
 
 // placementRequest holds the properties of a job that determine which machines its tasks may use, if the
@@ -113,6 +113,7 @@
 	pass.machines, pass.withFreeResources = pass.machines[:0], pass.withFreeResources[:0]
 	pass.maxFreeResources = resource.Vector{}
 	pass.clearUnplaceable()
+	pass.unreserved.reset()
 	for _, m := range p.inventory.all() {
 		m.wasReserved, m.reservedFor = m.reservedFor != nil, nil
 		if m.draining || !p.isSchedulable(m) || m.isAtTaskLimit() {
@@ -206,6 +207,9 @@
 	}
 }
 
+// handleResourcesChanged records that a machine has more or less free resources.
+func (p *placer) handleResourcesChanged(m *machine) { p.pass.unreserved.markChanged(m) }
+
 // handleGangStopped records that the machines of a stopped gang have more free resources.
 func (p *placer) handleGangStopped(j *job) {
 	for _, a := range j.sortedAssignments() {
--- a/internal/coordination/scheduler/reservation.go
+++ b/internal/coordination/scheduler/reservation.go
@@ -15,15 +15,8 @@
 	if count <= 0 || !j.team.isWithinLimit(j.demand) {
 		return
 	}
-	candidates := pass.reservationCandidates[:0]
-	for _, m := range pass.machines {
-		if m.reservedFor == nil && j.mayUse(m) && !m.freeResources().Covers(j.demand) {
-			candidates = append(candidates, m)
-		}
-	}
-	pass.reservationCandidates = candidates
-	slices.SortStableFunc(candidates, compareReservations)
-	p.reserve(j, candidates[:min(count, len(candidates))])
+	isCandidate := func(m *machine) bool { return j.mayUse(m) && !m.freeResources().Covers(j.demand) }
+	p.reserve(j, pass.unreserved.take(pass.machines, count, isCandidate))
 }
 
 // reserveForGang reserves machines for a starved gang that could not be placed. If the gang must run in
--- /dev/null
+++ b/internal/coordination/scheduler/reservation_order_test.go
@@ -0,0 +1,75 @@
+package scheduler
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// newOrderMachines returns machines of 16 CPUs of which a random number is used, sorted by name.
+func newOrderMachines(random *rand.Rand, count int) []*machine {
+	machines := make([]*machine, count)
+	for i := range machines {
+		machines[i] = newTestMachine(fmt.Sprintf("m-%04d", i), "a", 16)
+		machines[i].allocated.CPUs = float64(random.IntN(17))
+		machines[i].wasReserved = random.IntN(5) == 0
+	}
+	return machines
+}
+
+// TestReservationOrderMatchesSort guards against reservations of other machines than those a sort of all machines
+// finds, while tasks are placed and machines are reserved between them.
+func TestReservationOrderMatchesSort(t *testing.T) {
+	for seed := range uint64(300) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		machines := newOrderMachines(random, 1+random.IntN(30))
+		outside := newTestMachine("m-outside", "a", 16) // may not get tasks in this pass
+		j := &job{}
+		var order reservationOrder
+		order.reset()
+		for range 20 {
+			for range random.IntN(4) {
+				m := machines[random.IntN(len(machines))]
+				m.allocated.CPUs, m.reservedFor = float64(random.IntN(17)), nil
+				order.markChanged(m)
+				order.markChanged(outside)
+			}
+			least, count := float64(random.IntN(17)), 1+random.IntN(3)
+			isCandidate := func(m *machine) bool { return m.allocated.CPUs >= least }
+			var want []*machine
+			for _, m := range machines {
+				if m.reservedFor == nil && isCandidate(m) {
+					want = append(want, m)
+				}
+			}
+			slices.SortStableFunc(want, compareReservations)
+			want = want[:min(count, len(want))]
+			got := order.take(machines, count, isCandidate)
+			if !slices.Equal(got, want) {
+				t.Fatalf("seed %d: took %d machines, want %d: %v, want %v", seed, len(got), len(want), got, want)
+			}
+			for _, m := range got {
+				m.reservedFor = j
+			}
+		}
+	}
+}
+
+// TestReservationsExamineFewMachines guards against a leader that is behind its heartbeats because each of many
+// starved jobs examines the whole fleet on every heartbeat.
+func TestReservationsExamineFewMachines(t *testing.T) {
+	const machines, starvedJobs = 4000, 400
+	all := newOrderMachines(rand.New(rand.NewPCG(1, 3)), machines)
+	var order reservationOrder
+	order.reset()
+	examined := 0
+	for range starvedJobs {
+		for _, m := range order.take(all, 1, func(*machine) bool { examined++; return true }) {
+			m.reservedFor = &job{}
+		}
+	}
+	if examined > 2*starvedJobs {
+		t.Errorf("%d starved jobs have examined %d machines, want at most %d", starvedJobs, examined, 2*starvedJobs)
+	}
+}
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -47,6 +47,7 @@
 	finishedTasks    *finishedTaskWriter
 	planner          *capacityPlanner
 	machineList      *machineListReader
+	pacer            *decisionPacer
 
 	nextSummaryAt time.Duration // when the next summary is logged
 }
@@ -90,5 +91,6 @@
 		finishedTasks:    finishedTasks,
 		planner:          planner,
 		machineList:      machineList,
+		pacer:            newDecisionPacer(env),
 	}
 }
--- a/internal/limits/queue.go
+++ b/internal/limits/queue.go
@@ -7,6 +7,13 @@
 	// TickInterval is the time between two ticks, in which the scheduler checks conditions that depend only
 	// on time.
 	TickInterval = 500 * time.Millisecond
+	// PassTimeShare and PlanTimeShare are the largest shares of the leader's time that placement passes and
+	// capacity plans take.
+	PassTimeShare = 0.3
+	PlanTimeShare = 0.2
+	// MaxDecisionPause is the longest pause after a pass or plan. A process that was stopped during one should
+	// not wait in proportion to that.
+	MaxDecisionPause = 5 * time.Second
 	// QueueOrderTTL is how long the computed order of the queue is reused. Slacks of many seconds hardly
 	// change in that time.
 	QueueOrderTTL = 200 * time.Millisecond
