Leader: cancellations are confirmed while heartbeats wait

Cause: questions of users shared one queue with the heartbeats of all machines. The message was processed all the same, but nobody waited for the reply any more, and the next poll began anew. The watch that would confirm it otherwise waited in the same queue.

Change: heartbeats have a queue of their own, and the actor takes from both fairly. The leader keeps which cancellations it has processed, so that a later request is confirmed at once if the leader is entitled then. What a confirmation requires is as before: processed by this term, entitled afterwards.

--- a/internal/coordination/leader/dispatcher.go
+++ b/internal/coordination/leader/dispatcher.go
@@ -80,7 +80,7 @@
 }
 
 // HandleHeartbeat passes a worker's heartbeat to the actor. It never blocks: if this process does not
-// lead or the mailbox is full, the heartbeat is answered with 503 at once. sameConnection means that
+// lead or too many heartbeats wait, the heartbeat is answered with 503 at once. sameConnection means that
 // the previous heartbeat on the same connection was answered with 200 and that the worker, as it has
 // sent another one, has received that reply.
 func (d *Dispatcher) HandleHeartbeat(body []byte, sameConnection bool, respond HeartbeatResponderFunc) {
@@ -117,7 +117,7 @@
 	}
 	msg.arrivedAt = time.Now()
 	select {
-	case t.mailbox <- msg:
+	case t.heartbeats <- msg:
 	default:
 		msg.respond(http.StatusServiceUnavailable, nil)
 	}
@@ -139,10 +139,10 @@
 
 // ConfirmCancellation passes the record of a cancelled job to the scheduler, before a controller
 // confirms the cancellation to the user. It reports whether this leader was still entitled after the
-// scheduler had processed the record. If so, no other controller was the leader then, and every later
-// leader reads the record from the state service. Waiting until the leader's own watch delivers the
-// record could take long, as the state service may refuse the requests of this controller or of all
-// controllers.
+// scheduler had processed the record, at the request of this call or before. If so, no other controller
+// was the leader then, and every later leader reads the record from the state service. Waiting until the
+// leader's own watch delivers the record could take long, as the state service may refuse the requests of
+// this controller or of all controllers.
 func (d *Dispatcher) ConfirmCancellation(ctx context.Context, job string, version uint64, record []byte) bool {
 	t := d.currentActor.Load()
 	if t == nil {
@@ -152,6 +152,9 @@
 	if err != nil || !change.Record.Cancelled {
 		return false
 	}
+	if t.cancellations.contains(job, version) {
+		return t.leadership.IsEntitled()
+	}
 	ctx, cancel := context.WithTimeout(ctx, limits.CancelConfirmTimeout)
 	defer cancel()
 	reply := make(chan bool, 1)
--- a/internal/coordination/leader/messages.go
+++ b/internal/coordination/leader/messages.go
@@ -10,7 +10,7 @@
 // message is a message in the mailbox of an actor. The types that implement it are declared below.
 type message interface{ isMessage() }
 
-// heartbeatMessage is a worker's heartbeat.
+// heartbeatMessage is a worker's heartbeat. It has a queue of its own.
 type heartbeatMessage struct {
 	body           []byte // encoded; the actor decodes direct and relayed heartbeats
 	respond        HeartbeatResponderFunc
@@ -47,7 +47,6 @@
 	reply chan scheduler.Snapshot
 }
 
-func (heartbeatMessage) isMessage()        {}
 func (eventMessage) isMessage()            {}
 func (observedRevisionMessage) isMessage() {}
 func (taskCountsMessage) isMessage()       {}
--- a/internal/coordination/leader/term_actor.go
+++ b/internal/coordination/leader/term_actor.go
@@ -24,7 +24,10 @@
 	startedAt  time.Time            // immutable
 	log        *slog.Logger         // safe for concurrent use
 
-	mailbox       chan message
+	// Heartbeats have a queue of their own, so that other messages need not wait behind those of all machines.
+	heartbeats    chan heartbeatMessage
+	mailbox       chan message // all other messages
+	cancellations *processedCancellations
 	scheduler     *scheduler.Scheduler
 	writes        writeQueue
 	toWriter      chan scheduler.WriteRecords // received by the writer's goroutine
@@ -53,14 +56,16 @@
 		options.Fleet.MaxMachines = shares.MaxMachines
 	}
 	return &termActor{
-		dispatcher: d,
-		leadership: leadership,
-		startedAt:  time.Now(),
-		decisions:  metrics.Counts{},
-		log:        d.log.With("term", leadership.Term),
-		mailbox:    make(chan message, limits.MailboxSize(shares)),
-		toWriter:   make(chan scheduler.WriteRecords),
-		probeSlots: make(chan struct{}, shares.MaxProbes),
+		dispatcher:    d,
+		leadership:    leadership,
+		startedAt:     time.Now(),
+		decisions:     metrics.Counts{},
+		log:           d.log.With("term", leadership.Term),
+		heartbeats:    make(chan heartbeatMessage, limits.HeartbeatQueueSize(shares)),
+		mailbox:       make(chan message, limits.MailboxSize),
+		cancellations: newProcessedCancellations(),
+		toWriter:      make(chan scheduler.WriteRecords),
+		probeSlots:    make(chan struct{}, shares.MaxProbes),
 		workerClients: workerClientPool{
 			newClient:  d.newWorkerClient,
 			byAddress:  map[string]*transport.Client{},
@@ -105,6 +110,9 @@
 		case <-tick.C:
 			t.workerClients.evict(t.dispatcher.sockets.ExcessOutbound())
 			t.step(ctx, scheduler.Tick{Entitled: t.leadership.IsEntitled()})
+		// If both queues have messages, select takes from either with the same probability.
+		case heartbeat := <-t.heartbeats:
+			t.handleHeartbeat(ctx, heartbeat)
 		case msg := <-t.mailbox:
 			t.handleMessage(ctx, msg)
 		}
@@ -114,8 +122,6 @@
 // handleMessage processes one message.
 func (t *termActor) handleMessage(ctx context.Context, msg message) {
 	switch msg := msg.(type) {
-	case heartbeatMessage:
-		t.handleHeartbeat(ctx, msg)
 	case eventMessage:
 		t.step(ctx, msg.event)
 	case observedRevisionMessage:
@@ -137,7 +143,7 @@
 func (t *termActor) handleHeartbeat(ctx context.Context, msg heartbeatMessage) {
 	wait := time.Since(msg.arrivedAt)
 	t.longestMailboxWait = max(t.longestMailboxWait, wait)
-	t.dispatcher.metrics.SetMailbox(len(t.mailbox), wait)
+	t.dispatcher.metrics.SetMailbox(t.queuedMessages(), wait)
 	if wait > limits.SlowHeartbeatThreshold {
 		t.lastSlowHeartbeatAt.Store(int64(t.now()))
 	}
@@ -168,6 +174,7 @@
 	took := t.now() - startedAt
 	t.longestStep = max(t.longestStep, took)
 	t.scheduler.RecordDuration(took)
+	t.cancellations.handleEvent(event)
 	for _, effect := range effects {
 		t.executeEffect(ctx, effect)
 	}
@@ -178,14 +185,15 @@
 	t.longestQuestionWait = max(t.longestQuestionWait, time.Since(sentAt))
 }
 
-// rejectQueuedHeartbeats answers the heartbeats left in the mailbox with 503.
+// queuedMessages returns the number of messages that wait for the actor.
+func (t *termActor) queuedMessages() int { return len(t.heartbeats) + len(t.mailbox) }
+
+// rejectQueuedHeartbeats answers the heartbeats that still wait with 503.
 func (t *termActor) rejectQueuedHeartbeats() {
 	for {
 		select {
-		case msg := <-t.mailbox:
-			if heartbeat, ok := msg.(heartbeatMessage); ok {
-				heartbeat.respond(http.StatusServiceUnavailable, nil)
-			}
+		case heartbeat := <-t.heartbeats:
+			heartbeat.respond(http.StatusServiceUnavailable, nil)
 		default:
 			return
 		}
--- a/internal/coordination/leader/usage.go
+++ b/internal/coordination/leader/usage.go
@@ -15,10 +15,10 @@
 }
 
 // resourceUsage returns the resource usage of the process as arguments of the log's summary entry: the
-// number of messages in the mailbox, the longest wait there of a heartbeat and of a question of a user, the longest
-// step of the scheduler, the heap memory, the write
-// operations sent to the state service, the calls that it rejected, and the processor cores used. All
-// but the number of messages and the heap memory cover the time since the previous summary.
+// number of messages that wait for the actor, the longest wait of a heartbeat and of a question of a user,
+// the longest step of the scheduler, the heap memory, the write operations sent to the state service, the
+// calls that it rejected, and the processor cores used. All but the number of messages and the heap memory
+// cover the time since the previous summary.
 func (t *termActor) resourceUsage() []any {
 	last := t.lastCounters
 	t.lastCounters = resourceCounters{at: time.Now()}
@@ -26,7 +26,7 @@
 	heap := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
 	metrics.Read(heap)
 	args := []any{
-		"mailbox", len(t.mailbox),
+		"mailbox", t.queuedMessages(),
 		"longest_wait", t.longestMailboxWait.Round(time.Millisecond),
 		"longest_question_wait", t.longestQuestionWait.Round(time.Millisecond),
 		"longest_step", t.longestStep.Round(time.Millisecond),
--- a/internal/coordination/scheduler/decision_pacer_test.go
+++ b/internal/coordination/scheduler/decision_pacer_test.go
@@ -29,7 +29,8 @@
 		s.RecordDuration(took)
 		now += took
 	}
-	if share := inPasses.Seconds() / duration.Seconds(); share > 1.1*limits.PassTimeShare || share < limits.PassTimeShare/2 {
+	share := inPasses.Seconds() / duration.Seconds()
+	if share > 1.1*limits.PassTimeShare || share < limits.PassTimeShare/2 {
 		t.Errorf("passes took %.2f of the time, want about %.2f", share, limits.PassTimeShare)
 	}
 }
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -14,10 +14,10 @@
 		name                      string
 		sockets, otherControllers int
 		want                      SocketShares
-		mailboxSize               int
+		heartbeatQueueSize               int
 	}{
-		{"fewest", MinSockets, 2, SocketShares{20, 1, 18, 16, 14, 4, 4}, MinMailboxSize},
-		{"small", 333, 2, SocketShares{232, 13, 213, 188, 169, 46, 49}, MinMailboxSize},
+		{"fewest", MinSockets, 2, SocketShares{20, 1, 18, 16, 14, 4, 4}, MailboxSize},
+		{"small", 333, 2, SocketShares{232, 13, 213, 188, 169, 46, 49}, MailboxSize},
 		{"usual", 900, 2, SocketShares{784, 47, 714, 629, 566, 156, UserSlots}, 629},
 		{"large", 5002, 4, SocketShares{4882, 292, 4444, 3911, 3519, MaxProbes, UserSlots}, 3911},
 	} {
@@ -26,8 +26,8 @@
 			if got != c.want {
 				t.Errorf("DivideSockets(%d, %d) = %+v, want %+v", c.sockets, c.otherControllers, got, c.want)
 			}
-			if size := MailboxSize(got); size != c.mailboxSize {
-				t.Errorf("mailbox size %d, want %d", size, c.mailboxSize)
+			if size := HeartbeatQueueSize(got); size != c.heartbeatQueueSize {
+				t.Errorf("heartbeat queue size %d, want %d", size, c.heartbeatQueueSize)
 			}
 		})
 	}
--- a/internal/limits/sockets.go
+++ b/internal/limits/sockets.go
@@ -32,8 +32,9 @@
 	// reads are shared, see storage.BatchReader.
 	UserSlots      = 64
 	UserSlotsShare = 0.15
-	// MinMailboxSize is the least size of the scheduler's mailbox, in messages; see MailboxSize.
-	MinMailboxSize = 512
+	// MailboxSize is the size of the mailbox of the leader's scheduler, in messages. It is also the least size of
+	// the queue of heartbeats; see HeartbeatQueueSize.
+	MailboxSize = 512
 )
 
 // SocketShares says how a controller's sockets are divided. Sockets for the state service, the cloud and
@@ -68,6 +69,6 @@
 // shareOf returns the given share of a total, rounded down, but at least 1.
 func shareOf(total int, share float64) int { return max(1, int(float64(total)*share)) }
 
-// MailboxSize returns the size of the mailbox of the leader's scheduler. It has space for one heartbeat
-// from each worker that can be connected, as a worker has at most one in flight.
-func MailboxSize(s SocketShares) int { return max(MinMailboxSize, s.MaxMachineConns) }
+// HeartbeatQueueSize returns the number of heartbeats that may wait for the leader's scheduler: one from each
+// worker that can be connected, as a worker has at most one in flight.
+func HeartbeatQueueSize(s SocketShares) int { return max(MailboxSize, s.MaxMachineConns) }
