Stand-in of the users' load balancer, and questions through it in virtual time

Neither tests nor soak had the load balancer of the protocol, so they could not show the time in which users find no node: health checks, removal after missed ones, a pause before the return that doubles up to 60 s, growing shares, resets of connections, connection attempts of half a second.

It is a dialer, so that the virtual network and real processes use the same code. The users of TestEveryJobIsAnsweredAfterOutage now ask through it; bound and answers are checked as before. New: all controllers are restarted until the pause is at its longest (TestEveryJobIsAnsweredAfterRestartsInSeries).

The rule's 75 s leave 15 s: a controller that misses two health checks after its return costs the users another minute.

--- a/internal/coordination/controller/answers_test.go
+++ b/internal/coordination/controller/answers_test.go
@@ -14,6 +14,7 @@
 	"quillshunt/internal/config"
 	"quillshunt/internal/limits"
 	"quillshunt/internal/protocol"
+	"quillshunt/internal/standin"
 	"quillshunt/internal/storage"
 )
 
@@ -41,6 +42,43 @@
 // TestEveryJobIsAnsweredAfterOutage guards against accepted jobs that get no answer for more than 75 s after
 // the end of an outage, because all users ask at once and the reads of the state service are scarce.
 func TestEveryJobIsAnsweredAfterOutage(t *testing.T) {
+	runAnswerScenario(t, func(c *cluster, q *questioners, thousands float64) {
+		c.state.SetUnavailable(true)
+		time.Sleep(answerOutage / 2)
+		q.submit(int(submissionsPerThousand*thousands), 0)
+		time.Sleep(answerOutage / 2)
+		for _, node := range c.nodeNames {
+			c.restartController(node, 0)
+		}
+		c.state.SetUnavailable(false)
+	})
+}
+
+// TestEveryJobIsAnsweredAfterRestartsInSeries guards against accepted jobs that get no answer for more than 75 s
+// after controllers were restarted again and again, so that the load balancer keeps all of them out for a minute.
+func TestEveryJobIsAnsweredAfterRestartsInSeries(t *testing.T) {
+	const rounds, downtime = 7, 3 * time.Second
+	runAnswerScenario(t, func(c *cluster, q *questioners, _ float64) {
+		for range rounds {
+			for _, node := range c.nodeNames {
+				c.killController(node)
+			}
+			time.Sleep(downtime)
+			for _, node := range c.nodeNames {
+				c.startController(node)
+			}
+			for len(q.balancer.NodesInService()) < len(c.nodeNames) {
+				if q.balancer.LongestPause() == standin.MaxReturnPause {
+					return
+				}
+				time.Sleep(time.Second)
+			}
+		}
+	})
+}
+
+// runAnswerScenario starts users of many jobs, plays troubles, and checks that users have answers after their end.
+func runAnswerScenario(t *testing.T, troubles func(c *cluster, q *questioners, thousands float64)) {
 	machines := numberFromEnvironment(t, "QUILLSHUNT_MACHINES", defaultAnswerMachines)
 	seed := numberFromEnvironment(t, "QUILLSHUNT_SEED", 1)
 	thousands := float64(machines) / 1000
@@ -57,14 +95,7 @@
 		q := newQuestioners(c, thousands)
 		q.start()
 		time.Sleep(20 * time.Second)
-		c.state.SetUnavailable(true)
-		time.Sleep(answerOutage / 2)
-		q.submit(int(submissionsPerThousand*thousands), 0)
-		time.Sleep(answerOutage / 2)
-		for _, node := range c.nodeNames {
-			c.restartController(node, 0)
-		}
-		c.state.SetUnavailable(false)
+		troubles(c, q, thousands)
 		q.troublesEnded()
 		q.submit(int(arrivalsPerThousand*thousands*60), time.Minute)
 		time.Sleep(timeAfterOutage)
@@ -87,14 +118,15 @@
 	return number
 }
 
-// questioners are users that ask about jobs at all controllers.
+// questioners are users that ask about jobs through a load balancer.
 type questioners struct {
-	cluster *cluster
-	users   sync.WaitGroup
-	open    []string // accepted jobs that stay open
-	done    []string // accepted jobs that are done
-	cancel  []string // accepted jobs that are cancelled during the outage
-	unknown []string // jobs that nobody submitted
+	cluster  *cluster
+	balancer *standin.LoadBalancer
+	users    sync.WaitGroup
+	open     []string // accepted jobs that stay open
+	done     []string // accepted jobs that are done
+	cancel   []string // accepted jobs that are cancelled during the outage
+	unknown  []string // jobs that nobody submitted
 
 	mu         sync.Mutex
 	stopped    bool
@@ -108,7 +140,15 @@
 
 // newQuestioners stores the records of accepted jobs.
 func newQuestioners(c *cluster, thousands float64) *questioners {
-	q := &questioners{cluster: c, answeredAt: map[string]time.Time{}, unanswered: map[string]time.Duration{}}
+	addresses := map[string]string{}
+	for _, node := range c.nodeNames {
+		addresses[node] = node + ":8080"
+	}
+	q := &questioners{
+		cluster: c, answeredAt: map[string]time.Time{}, unanswered: map[string]time.Duration{},
+		balancer: standin.NewLoadBalancer(addresses, c.network.Dialer("users"), c.random.Uint64()),
+	}
+	go q.balancer.Run(c.ctx)
 	c.mu.Lock()
 	c.rentalsFail = true // so that the open jobs stay open
 	c.mu.Unlock()
@@ -198,8 +238,7 @@
 	q.users.Go(func() {
 		time.Sleep(delay + time.Duration(random.Int64N(int64(pollInterval))))
 		for !q.isStopped() {
-			node := q.cluster.nodeNames[random.IntN(len(q.cluster.nodeNames))]
-			answered, retryAfter := q.askOnce(node, id, allowed)
+			answered, retryAfter := q.askOnce(id, allowed)
 			if !answered {
 				time.Sleep(max(time.Second, retryAfter))
 				continue
@@ -209,10 +248,10 @@
 	})
 }
 
-// askOnce asks a controller about a job. It reports whether there was an answer, and if not, after which time
+// askOnce asks about a job. It reports whether there was an answer, and if not, after which time
 // the controller wants to be asked again.
-func (q *questioners) askOnce(node, id string, allowed []protocol.JobState) (answered bool, retryAfter time.Duration) {
-	reply, err := q.cluster.sendUserRequest(node, http.MethodGet, "/v2/runs/"+id, nil, pollTimeout)
+func (q *questioners) askOnce(id string, allowed []protocol.JobState) (answered bool, retryAfter time.Duration) {
+	reply, err := q.cluster.sendUserRequestBy(q.balancer.Dial, "balancer", http.MethodGet, "/v2/runs/"+id, nil, pollTimeout)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if err != nil {
--- a/internal/coordination/controller/users_test.go
+++ b/internal/coordination/controller/users_test.go
@@ -43,11 +43,17 @@
 // sendUserRequest sends one user request to a controller over a new connection, and returns the response.
 func (c *cluster) sendUserRequest(
 	node, method, target string, body []byte, timeout time.Duration,
+) (*transport.Message, error) {
+	return c.sendUserRequestBy(c.network.Dialer("users"), node, method, target, body, timeout)
+}
+
+// sendUserRequestBy is sendUserRequest with another dialer, for example that of a load balancer.
+func (c *cluster) sendUserRequestBy(
+	dial transport.Dialer, node, method, target string, body []byte, timeout time.Duration,
 ) (*transport.Message, error) {
 	ctx, cancel := context.WithTimeout(c.ctx, timeout)
 	defer cancel()
-	client := transport.NewClient(node+":8080", 0, limits.MaxBodyBytes).WithDialer(c.network.Dialer("users"))
-	return client.Do(ctx, method, target, body)
+	return transport.NewClient(node+":8080", 0, limits.MaxBodyBytes).WithDialer(dial).Do(ctx, method, target, body)
 }
 
 // sendAndReadJobState sends one user request to a controller. It returns the HTTP status of the response and
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -14,7 +14,7 @@
 		name                      string
 		sockets, otherControllers int
 		want                      SocketShares
-		heartbeatQueueSize               int
+		heartbeatQueueSize        int
 	}{
 		{"fewest", MinSockets, 2, SocketShares{20, 1, 18, 16, 14, 4, 4}, MailboxSize},
 		{"small", 333, 2, SocketShares{232, 13, 213, 188, 169, 46, 49}, MailboxSize},
