Report a controller that cannot serve its clients for a minute

The invariant on the age of questions sees requests that were read. A controller whose event loop is reached too late by every health check, or which refuses connections for lack of sockets, is out of service without any of its requests failing. Both are now an ERROR line and a counter after a minute, and fail soak and tests of the whole service as all such lines do. It ends no controller.

TestUnservableControllerIsReported: both cases are reported once, a controller that is slow at times only is not.

--- a/internal/coordination/gateway/gateway.go
+++ b/internal/coordination/gateway/gateway.go
@@ -50,6 +50,7 @@
 	summary    requestSummary
 	activity   func() transport.Activity
 	checks     healthCheckCounts
+	service    serviceWatch // used by logSummaries only
 
 	ctx context.Context // ends all work on requests; set by Start, because Handle has no context
 
--- a/internal/coordination/gateway/request_in_progress_test.go
+++ b/internal/coordination/gateway/request_in_progress_test.go
@@ -43,6 +43,35 @@
 	}
 }
 
+// TestUnservableControllerIsReported guards against a controller that reads no request in time, or refuses
+// connections, for a minute without a word.
+func TestUnservableControllerIsReported(t *testing.T) {
+	slow := transport.Activity{LeastDelay: limits.HealthCheckPatience + 1, LoopDelay: 2 * limits.HealthCheckPatience}
+	for _, c := range []struct {
+		name     string
+		activity transport.Activity
+		want     metrics.Invariant
+	}{
+		{"requests wait unread", slow, metrics.InvariantReadInTime},
+		{"connections are refused", transport.Activity{Refused: 1}, metrics.InvariantAcceptsConnections},
+		{"some requests wait", transport.Activity{LoopDelay: 2 * limits.HealthCheckPatience}, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var watch serviceWatch
+			var reported []metrics.Invariant
+			for range 2 * limits.MaxUnansweredAge / limits.SummaryInterval {
+				reported = append(reported, watch.record(c.activity)...)
+			}
+			if c.want == "" && len(reported) > 0 {
+				t.Errorf("reported %v, want nothing", reported)
+			}
+			if c.want != "" && (len(reported) != 1 || reported[0] != c.want) {
+				t.Errorf("reported %v, want %s once", reported, c.want)
+			}
+		})
+	}
+}
+
 // TestHealthCheckGapIsReported guards against a controller that stops answering health checks unnoticed.
 func TestHealthCheckGapIsReported(t *testing.T) {
 	var checks healthCheckCounts
--- a/internal/coordination/gateway/request_summary.go
+++ b/internal/coordination/gateway/request_summary.go
@@ -78,6 +78,11 @@
 		Machines: activity.Machines, Users: activity.Users, Silent: activity.Silent, Refused: activity.Refused,
 		LoopDelay: activity.LoopDelay, TimerDelay: activity.TimerDelay,
 	})
+	for _, invariant := range g.service.record(activity) {
+		g.metrics.CountViolation(invariant)
+		g.log.Error("this controller cannot serve its clients", "invariant", invariant,
+			"loop_delay", activity.LoopDelay, "connections_refused", activity.Refused)
+	}
 	passed, failed, gap := g.checks.take(time.Now())
 	reads := g.reader.TakeStatistics(time.Now())
 	g.metrics.SetOldestRead(reads.OldestWaiting)
--- a/internal/limits/gateway.go
+++ b/internal/limits/gateway.go
@@ -8,6 +8,9 @@
 	// to a submission or cancellation. They are set by the protocol.
 	UserPollPatience   = 2 * time.Second
 	UserSubmitPatience = 5 * time.Second
+	// HealthCheckPatience is the time for which the load balancer waits for the answer to a health check. It is set
+	// by the protocol.
+	HealthCheckPatience = time.Second
 	// PollTimeout is the time within which every poll is answered. The client's timeout is 2 s.
 	PollTimeout = 1800 * time.Millisecond
 	// SubmitTimeout is the time within which submissions and cancellations are answered. The client's
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -95,6 +95,14 @@
 // while this controller reaches the state service.
 const InvariantAnswerAge Invariant = "answer_age"
 
+// Invariants of the client side, each for limits.MaxUnansweredAge.
+const (
+	// InvariantReadInTime is that some requests wait unread for a shorter time than a health check may take.
+	InvariantReadInTime Invariant = "read_in_time"
+	// InvariantAcceptsConnections is that connections are not refused all the time for lack of sockets.
+	InvariantAcceptsConnections Invariant = "accepts_connections"
+)
+
 // Upper bounds of the histograms' buckets, in seconds.
 var (
 	latencyBuckets  = []float64{0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8}
--- a/internal/transport/activity.go
+++ b/internal/transport/activity.go
@@ -13,6 +13,7 @@
 	OldestSilent time.Duration // age of the oldest silent connection
 	Refused      int           // connections closed at once for lack of sockets, since the last call of TakeActivity
 	LoopDelay    time.Duration // longest wait for the event loop, since the last call of TakeActivity
+	LeastDelay   time.Duration // shortest such wait; 0 if the event loop was not waited for
 	TimerDelay   time.Duration // longest delay of a timer, since the last call of TakeActivity
 }
 
@@ -28,7 +29,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	taken := r.current
-	r.current.Refused, r.current.LoopDelay, r.current.TimerDelay = 0, 0, 0
+	r.current.Refused, r.current.LoopDelay, r.current.LeastDelay, r.current.TimerDelay = 0, 0, 0, 0
 	return taken
 }
 
@@ -44,6 +45,9 @@
 func (r *activityRecorder) recordDelays(loop, timer time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.current.LoopDelay == 0 || loop < r.current.LeastDelay {
+		r.current.LeastDelay = loop
+	}
 	r.current.LoopDelay = max(r.current.LoopDelay, loop)
 	r.current.TimerDelay = max(r.current.TimerDelay, timer)
 }
