Tests: read sizes and seeds from the environment in one place

One of them accepted 0 and negative numbers, with which its test would have tried nothing; all now reject them. No test changes otherwise.

--- a/internal/coordination/controller/answers_test.go
+++ b/internal/coordination/controller/answers_test.go
@@ -4,9 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"slices"
-	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -16,6 +14,7 @@
 	"quillshunt/internal/protocol"
 	"quillshunt/internal/standin"
 	"quillshunt/internal/storage"
+	"quillshunt/internal/testvariable"
 )
 
 // Sizes of the test of answers, for each thousand machines, and the times of its users.
@@ -79,11 +78,11 @@
 
 // runAnswerScenario starts users of many jobs, plays troubles, and checks that users have answers after their end.
 func runAnswerScenario(t *testing.T, troubles func(c *cluster, q *questioners, thousands float64)) {
-	machines := numberFromEnvironment(t, "QUILLSHUNT_MACHINES", defaultAnswerMachines)
-	seed := numberFromEnvironment(t, "QUILLSHUNT_SEED", 1)
+	machines := testvariable.Positive(t, "QUILLSHUNT_MACHINES", defaultAnswerMachines)
+	seed := testvariable.Positive(t, "QUILLSHUNT_SEED", 1)
 	thousands := float64(machines) / 1000
 	stateLimits := config.StateLimits{
-		RPS:      float64(numberFromEnvironment(t, "QUILLSHUNT_STATE_RPS", int(requestsPerThousand*thousands))),
+		RPS:      float64(testvariable.Positive(t, "QUILLSHUNT_STATE_RPS", int(requestsPerThousand*thousands))),
 		WriteRPS: changesPerThousand * thousands, ValueKB: 8, TxnOps: 8,
 	}
 	options := clusterOptions{
@@ -104,20 +103,6 @@
 	})
 }
 
-// numberFromEnvironment returns the number in an environment variable, or the default if it is not set.
-func numberFromEnvironment(t *testing.T, name string, byDefault int) int {
-	t.Helper()
-	text := os.Getenv(name)
-	if text == "" {
-		return byDefault
-	}
-	number, err := strconv.Atoi(text)
-	if err != nil || number < 1 {
-		t.Fatalf("%s=%s: must be a positive number", name, text)
-	}
-	return number
-}
-
 // questioners are users that ask about jobs through a load balancer.
 type questioners struct {
 	cluster  *cluster
@@ -251,7 +236,8 @@
 // askOnce asks about a job. It reports whether there was an answer, and if not, after which time
 // the controller wants to be asked again.
 func (q *questioners) askOnce(id string, allowed []protocol.JobState) (answered bool, retryAfter time.Duration) {
-	reply, err := q.cluster.sendUserRequestBy(q.balancer.Dial, "balancer", http.MethodGet, "/v2/runs/"+id, nil, pollTimeout)
+	target := "/v2/runs/" + id
+	reply, err := q.cluster.sendUserRequestBy(q.balancer.Dial, "balancer", http.MethodGet, target, nil, pollTimeout)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if err != nil {
--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -18,7 +18,8 @@
 	"coordination/resource": 1, "coordination/placement": 2,
 	"coordination/peer/peerpb": 5, "coordination/election": 5, "coordination/peer": 6, "coordination/scheduler": 6,
 	"coordination/leader": 7, "coordination/gateway": 8, "coordination/controller": 9,
-	"standin": 5, // fakes of the cloud, workers and state service, for tests and the quick start
+	"standin":      5, // fakes of the cloud, workers and state service, for tests and the quick start
+	"testvariable": 0, // for tests
 }
 
 // TestImportsGoDownward checks that packages import only packages of lower layers, and that the
--- a/internal/transport/reset_test.go
+++ b/internal/transport/reset_test.go
@@ -3,13 +3,10 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,6 +14,7 @@
 	"time"
 
 	"quillshunt/internal/limits"
+	"quillshunt/internal/testvariable"
 )
 
 // answerWithin is the time within which a server must answer a new connection once its troubles are over.
@@ -326,7 +324,7 @@
 // and its counts must be exact afterwards. QUILLSHUNT_CONNS is the number of connections and QUILLSHUNT_SEED
 // the seed, for longer runs by hand.
 func TestRandomConnectionFaults(t *testing.T) {
-	conns, seed := numberFromEnv(t, "QUILLSHUNT_CONNS", 5000), numberFromEnv(t, "QUILLSHUNT_SEED", 1)
+	conns, seed := testvariable.Positive(t, "QUILLSHUNT_CONNS", 5000), testvariable.Positive(t, "QUILLSHUNT_SEED", 1)
 	f, _ := newFaultServer(t)
 	for done := 0; done < conns; {
 		var batch sync.WaitGroup
@@ -384,17 +382,3 @@
 		reset(socket)
 	}
 }
-
-// numberFromEnv returns the number in an environment variable, or the default if it is not set.
-func numberFromEnv(t *testing.T, name string, byDefault int) int {
-	t.Helper()
-	text := os.Getenv(name)
-	if text == "" {
-		return byDefault
-	}
-	n, err := strconv.Atoi(text)
-	if err != nil {
-		t.Fatal(fmt.Errorf("%s: %w", name, err))
-	}
-	return n
-}
