Pace passes only while heartbeats wait; warn of a small processor

Passes that nobody waits for need no pause.

Also: one warning at the start, with both values, if the share of a core is small for the heartbeats of as many machines as the sockets allow (TestUnsuitableSettingsWarn).

--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -53,6 +53,7 @@
 	if m.CoreShare > 0 && m.CoreShare < limits.LowCoreShare {
 		warnLow("core_share", m.CoreShare, limits.LowCoreShare)
 	}
+	lines = append(lines, s.heartbeatWarnings()...)
 	w := s.Deployment.Workers
 	if needed := limits.LeaseExpiredAfter(limits.Seconds(w.LeaseS)); limits.Seconds(w.CancelWithinS) < needed {
 		lines = append(lines, fmt.Sprintf(
@@ -62,3 +63,21 @@
 	}
 	return lines
 }
+
+// heartbeatWarnings returns a warning if the leader's share of a core is small for the heartbeats of as many machines
+// as its sockets allow.
+func (s *Settings) heartbeatWarnings() []string {
+	m, interval := s.Deployment.MachineLimits, s.Deployment.Workers.HeartbeatIntervalS
+	if m.CoreShare <= 0 || interval <= 0 {
+		return nil
+	}
+	machines := limits.DivideSockets(m.MaxSockets, len(s.Members)).MaxMachines
+	supported := int(m.CoreShare * limits.MaxHeartbeatsPerCore * interval)
+	if machines <= supported {
+		return nil
+	}
+	return []string{fmt.Sprintf(
+		"facts.machine_limits.core_share: %v is enough for the heartbeats of about %d machines, and max_sockets of %d "+
+			"allows %d; with more than the core_share is enough for, users and machines wait",
+		m.CoreShare, supported, m.MaxSockets, machines)}
+}
--- a/internal/coordination/leader/term_actor.go
+++ b/internal/coordination/leader/term_actor.go
@@ -173,6 +173,9 @@
 	effects := t.scheduler.Step(event, startedAt)
 	took := t.now() - startedAt
 	t.longestStep = max(t.longestStep, took)
+	if !t.hasRecentSlowHeartbeat() {
+		took = 0 // nothing has waited for it
+	}
 	t.scheduler.RecordDuration(took)
 	t.cancellations.handleEvent(event)
 	for _, effect := range effects {
--- a/internal/coordination/scheduler/decision_pacer.go
+++ b/internal/coordination/scheduler/decision_pacer.go
@@ -6,8 +6,8 @@
 	"quillshunt/internal/limits"
 )
 
-// decisionPacer limits the share of the leader's time that placement passes and capacity plans take, whatever
-// they cost with the present machines and jobs. The rest is for the heartbeats and the questions of users that
+// decisionPacer limits the share of the leader's time that placement passes and capacity plans take while the leader
+// is behind, whatever they cost with the present machines and jobs. The rest is for the heartbeats and the questions of users that
 // wait for the leader meanwhile. A pass or plan that has to wait stays requested.
 type decisionPacer struct {
 	*environment
@@ -52,6 +52,6 @@
 	return min(time.Duration(float64(took)*(1-share)/share), limits.MaxDecisionPause)
 }
 
-// RecordDuration tells the scheduler how long the leader's last call of Step took. The scheduler has no clock of
-// its own. Without this call, a step counts as having taken no time.
+// RecordDuration tells the scheduler how long the leader's last call of Step took, or 0 if nothing waited for the
+// leader meanwhile. The scheduler has no clock of its own. Without this call, a step counts as having taken no time.
 func (s *Scheduler) RecordDuration(took time.Duration) { s.pacer.recordDuration(took) }
--- a/internal/limits/process.go
+++ b/internal/limits/process.go
@@ -20,6 +20,9 @@
 	// less than a hundredth of a core.
 	LowMemoryMB  = 32.0
 	LowCoreShare = 0.01
+	// MaxHeartbeatsPerCore is the number of heartbeats per second for which one core is enough for a leader, with
+	// what belongs to them: placement, commands and the questions of users. More causes a warning.
+	MaxHeartbeatsPerCore = 10_000.0
 	// MinSockets is the least number of sockets with which a controller starts. DivideSockets leaves 20 of
 	// them for users and workers.
 	MinSockets = 32
