--- a/internal/coordination/scheduler/decision_pacer.go
+++ b/internal/coordination/scheduler/decision_pacer.go
@@ -6,9 +6,9 @@
 	"quillshunt/internal/limits"
 )
 
-// decisionPacer limits the share of the leader's time that placement passes and capacity plans take while the leader
-// is behind, whatever they cost with the present machines and jobs. The rest is for the heartbeats and the questions of users that
-// wait for the leader meanwhile. A pass or plan that has to wait stays requested.
+// decisionPacer limits the share of the leader's time that placement passes and capacity plans take while the
+// leader is behind, whatever they cost with the present machines and jobs. The rest is for the heartbeats and the
+// questions of users that wait for the leader meanwhile. A pass or plan that has to wait stays requested.
 type decisionPacer struct {
 	*environment
 	passRan, planRan       bool          // in the current step
