--- a/internal/coordination/leader/term_actor.go
+++ b/internal/coordination/leader/term_actor.go
@@ -173,8 +173,8 @@
 	effects := t.scheduler.Step(event, startedAt)
 	took := t.now() - startedAt
 	t.longestStep = max(t.longestStep, took)
-	if !t.hasRecentSlowHeartbeat() {
-		took = 0 // nothing has waited for it
+	if took <= limits.SlowHeartbeatThreshold && !t.hasRecentSlowHeartbeat() {
+		took = 0 // no heartbeat has waited long
 	}
 	t.scheduler.RecordDuration(took)
 	t.cancellations.handleEvent(event)
