--- a/internal/coordination/leader/cancellations_test.go
+++ b/internal/coordination/leader/cancellations_test.go
@@ -64,9 +64,9 @@
 	return l.dispatcher.ConfirmCancellation(ctx, cancelledJob, 1, l.record)
 }
 
-// TestCancellationIsConfirmedBehindHeartbeats guards against cancelled jobs without an answer while the heartbeats
-// of a large fleet wait for the leader.
-func TestCancellationIsConfirmedBehindHeartbeats(t *testing.T) {
+// withBusyLeader runs a test with a busy leader in a synctest bubble.
+func withBusyLeader(t *testing.T, test func(ctx context.Context, t *testing.T, l *busyLeader)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		l := startBusyLeader(ctx)
@@ -74,6 +74,14 @@
 			cancel()
 			<-l.ended
 		}()
+		test(ctx, t, l)
+	})
+}
+
+// TestCancellationIsConfirmedBehindHeartbeats guards against cancelled jobs without an answer while the heartbeats
+// of a large fleet wait for the leader.
+func TestCancellationIsConfirmedBehindHeartbeats(t *testing.T) {
+	withBusyLeader(t, func(ctx context.Context, t *testing.T, l *busyLeader) {
 		l.queueHeartbeats(4000, 2*time.Millisecond)
 		sentAt := time.Now()
 		if !l.confirm(ctx) {
@@ -85,13 +93,7 @@
 // TestLateConfirmationIsKept guards against cancelled jobs without an answer while each step of the leader takes
 // longer than the caller waits.
 func TestLateConfirmationIsKept(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		l := startBusyLeader(ctx)
-		defer func() {
-			cancel()
-			<-l.ended
-		}()
+	withBusyLeader(t, func(ctx context.Context, t *testing.T, l *busyLeader) {
 		const step = 4 * limits.CancelConfirmTimeout
 		l.queueHeartbeats(1, step)
 		synctest.Wait() // the actor is busy
