Soak: users behind the load balancer, small controllers, slow and changing leaders

The soak asked the controllers directly, with ample processor and sockets, so it had none of the conditions of the incident. Now: users come through the load balancer of the protocol, and ask all nodes where they look closely, also while a cancellation is not confirmed; sockets (3,000 to 500) and the state service's rate (down to half) are drawn; every fifth run has small controllers, which run for 3 to 5 % of the time only, from the first fault to the end; new faults are a leader that stands still for fractions of a second in series, leaders that end as soon as they lead, and as many idle or half-open connections as a controller has sockets.

--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -64,6 +64,7 @@
 	controllers []*controller
 	links       map[string]*link // by linkName
 	recorder    *recorder
+	balancer    *standin.LoadBalancer // of the users
 
 	cancelNow chan struct{} // closed when some users cancel their jobs at the same time
 	closeOnce sync.Once     // closes cancelNow
@@ -95,6 +96,11 @@
 			name: fmt.Sprintf("controller-%d", i), client: d.freeAddress(), peer: d.freeAddress(),
 		})
 	}
+	addresses := map[string]string{}
+	for _, c := range d.controllers {
+		addresses[c.name] = c.client
+	}
+	d.balancer = standin.NewLoadBalancer(addresses, nil, uint64(size.sockets))
 	d.startStandins()
 	if err := os.WriteFile(d.path("options.toml"), []byte(options), 0o644); err != nil {
 		t.Fatal(err)
@@ -201,8 +207,10 @@
 			State: config.StateLimits{
 				RPS: d.size.stateRPS, WriteRPS: d.size.stateWriteRPS, ValueKB: 4, TxnOps: 8,
 			},
-			Cloud:          config.CloudLimits{RPS: 20, ListLagS: 1},
-			MachineLimits:  config.MachineLimits{CoreShare: 0.5, MemoryMB: 300, MaxSockets: 3000},
+			Cloud: config.CloudLimits{RPS: 20, ListLagS: 1},
+			MachineLimits: config.MachineLimits{
+				CoreShare: d.size.coreShare, MemoryMB: 300, MaxSockets: d.size.sockets,
+			},
 			MaxClockSkewMs: 50,
 		},
 	}
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -46,8 +46,12 @@
 	c, other := d.controllers[f.First], d.controllers[f.Other]
 	held, refused := linkState{holdForward: true, holdBackward: true}, linkState{refuse: true}
 	switch f.Kind {
-	case crash, crashAll, roll, crashSeries:
+	case crash, crashAll, roll, crashSeries, leaderSeries:
 		d.playCrash(f, c)
+	case slowLeader:
+		d.playSlowLeader(f, d.leader(c), random)
+	case idleConnections:
+		d.playIdleConnections(f.For, c)
 	case pause:
 		d.pause(c, true)
 		storage.SleepContext(d.ctx, f.For)
@@ -88,6 +92,11 @@
 			d.restart(min(f.For, time.Second), each)
 			storage.SleepContext(d.ctx, time.Second)
 		}
+	case leaderSeries:
+		for range 3 {
+			d.restart(500*time.Millisecond, d.leader(c))
+			storage.SleepContext(d.ctx, f.For/3)
+		}
 	case crashSeries:
 		for range 4 {
 			d.restart(200*time.Millisecond, c)
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -22,15 +22,18 @@
 	cutStateAndPeers faultKind = "cut state and peers"
 	cutPeers         faultKind = "cut peers" // two controllers lose each other
 	refusePeers      faultKind = "refuse peers"
-	cutWorkers       faultKind = "cut workers"     // a controller does not receive heartbeats
-	deafWorkers      faultKind = "deaf workers"    // its replies to heartbeats are held
-	cutCloud         faultKind = "cut cloud"       // a controller loses the cloud
-	slowState        faultKind = "slow state"      // a controller's calls to the state service are delayed
-	refuseState      faultKind = "refuse state"    // the state service rejects one controller
-	outage           faultKind = "outage"          // the state service rejects all controllers
-	lateWrites       faultKind = "late writes"     // transactions are executed late and get no reply
-	lostReplies      faultKind = "lost replies"    // transactions are executed and get no reply
-	lateHeartbeats   faultKind = "late heartbeats" // copies of heartbeats arrive again later
+	cutWorkers       faultKind = "cut workers"      // a controller does not receive heartbeats
+	deafWorkers      faultKind = "deaf workers"     // its replies to heartbeats are held
+	cutCloud         faultKind = "cut cloud"        // a controller loses the cloud
+	slowState        faultKind = "slow state"       // a controller's calls to the state service are delayed
+	refuseState      faultKind = "refuse state"     // the state service rejects one controller
+	outage           faultKind = "outage"           // the state service rejects all controllers
+	lateWrites       faultKind = "late writes"      // transactions are executed late and get no reply
+	lostReplies      faultKind = "lost replies"     // transactions are executed and get no reply
+	lateHeartbeats   faultKind = "late heartbeats"  // copies of heartbeats arrive again later
+	slowLeader       faultKind = "slow leader"      // the leader stands still again and again for fractions of a second
+	leaderSeries     faultKind = "leader series"    // each leader ends as soon as it leads
+	idleConnections  faultKind = "idle connections" // clients open connections and send nothing or half a request
 	hangMachines     faultKind = "hang machines"
 	killMachines     faultKind = "kill machines"
 
@@ -43,7 +46,7 @@
 var faultKinds = []faultKind{
 	crash, crashAll, roll, crashSeries, pause, cutState, cutStateReplies, cutStateAndPeers, cutPeers, refusePeers,
 	cutWorkers, deafWorkers, cutCloud, slowState, refuseState, outage, lateWrites, lostReplies, lateHeartbeats,
-	hangMachines, killMachines,
+	hangMachines, killMachines, slowLeader, leaderSeries, idleConnections,
 }
 
 // briefKinds lists the kinds of faults that fall into a long outage. They let the leader go on leading.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -18,6 +18,7 @@
 
 	"quillshunt/internal/protocol"
 	"quillshunt/internal/storage"
+	"quillshunt/internal/testvariable"
 )
 
 // Variables that choose the runs. Without them a few short ones are made.
@@ -33,10 +34,12 @@
 	defaultSeeds   = "1-2"
 	defaultSeconds = 22
 	warmUp         = 4 * time.Second // before the first fault
-	// runEvery is how many seeds there are for one run with a large fleet, and for one with a long outage.
-	runEvery      = 5
-	largeRun      = 0 // seed modulo runEvery
-	longOutageRun = 3
+	// runEvery is how many seeds there are for one run with a large fleet, one with a long outage, and one with a
+	// large fleet and small controllers.
+	runEvery           = 5
+	largeRun           = 0 // seed modulo runEvery
+	longOutageRun      = 3
+	smallControllerRun = 4
 	// machineReturn is the time in which machines without work are returned, unless they are younger than
 	// paidAge, for which the cloud charges in any case.
 	machineReturn = 45 * time.Second
@@ -53,20 +56,39 @@
 	longestTask   time.Duration // run time of the longest tasks
 	longJobs      int           // jobs in ten that have these
 	longOutage    bool          // the faults are those of newLongOutage
+	sockets       int           // of each controller
+	coreShare     float64       // share of a core that each controller has
+	throttled     bool          // the controllers get no more than that
 }
 
-// sizeOf returns the size of the run with a seed: a small or a large one, in which reads are scarce, or one with
-// a long outage, in which many jobs are cancelled that have long to go.
+// sizeOf returns the size of the run with a seed: a small or a large one, in which reads are scarce, a large one with
+// small controllers, or one with a long outage, in which many jobs are cancelled that have long to go. Sockets, the
+// rate of the state service and the share of a core of small controllers are drawn, down to scarce ones.
 func sizeOf(seed uint64) size {
+	s := sizeOfKind(seed)
+	random := rand.New(rand.NewPCG(seed, 13))
+	s.stateRPS *= []float64{1, 1, 0.75, 0.5}[random.IntN(4)]
+	s.sockets = []int{3000, 3000, 1200, 500}[random.IntN(4)]
+	if s.throttled {
+		s.coreShare = []float64{0.05, 0.03, 0.04}[random.IntN(3)]
+	}
+	return s
+}
+
+// sizeOfKind returns the size of the run with a seed without what is drawn.
+func sizeOfKind(seed uint64) size {
 	small := size{
 		controllers: 3, jobInterval: 700 * time.Millisecond, firstJobs: 5, stateRPS: 80, stateWriteRPS: 25,
-		longestTask: 30 * time.Second, longJobs: 1,
+		longestTask: 30 * time.Second, longJobs: 1, coreShare: 0.5,
 	}
+	large := small
+	large.controllers, large.jobInterval, large.firstJobs = 5, 120*time.Millisecond, 300
+	large.stateRPS, large.stateWriteRPS = 60, 30
 	switch seed % runEvery {
 	case largeRun:
-		large := small
-		large.controllers, large.jobInterval, large.firstJobs = 5, 120*time.Millisecond, 300
-		large.stateRPS, large.stateWriteRPS = 60, 30
+		return large
+	case smallControllerRun:
+		large.throttled = true
 		return large
 	case longOutageRun:
 		long := small
@@ -119,7 +141,7 @@
 		}
 		return []schedule{s}
 	}
-	seconds := number(t, secondsVariable, defaultSeconds)
+	seconds := testvariable.Positive(t, secondsVariable, defaultSeconds)
 	seeds := os.Getenv(seedsVariable)
 	if seeds == "" {
 		seeds = defaultSeeds
@@ -140,20 +162,6 @@
 	return all
 }
 
-// number returns the positive number in a variable, or the default if it is not set.
-func number(t *testing.T, variable string, byDefault int) int {
-	t.Helper()
-	text := os.Getenv(variable)
-	if text == "" {
-		return byDefault
-	}
-	n, err := strconv.Atoi(text)
-	if err != nil || n < 1 {
-		t.Fatalf("%s=%s: must be a positive number", variable, text)
-	}
-	return n
-}
-
 // soak makes one run. If it breaks a rule, its files are kept.
 func soak(t *testing.T, binary string, s schedule) {
 	directory, err := os.MkdirTemp(os.Getenv(directoryVar), fmt.Sprintf("soak-%d-", s.Seed))
@@ -194,6 +202,12 @@
 func (d *deployment) run(s schedule, size size) *history {
 	ctx, stop := context.WithCancel(d.ctx)
 	defer stop()
+	go d.balancer.Run(ctx)
+	if size.throttled {
+		for _, c := range d.controllers {
+			go d.throttle(ctx, c, size.coreShare)
+		}
+	}
 	u := &users{d: d, ctx: ctx, random: rand.New(rand.NewPCG(s.Seed, 1))}
 	submitting, stopSubmitting := context.WithCancel(ctx)
 	submitted := make(chan struct{})
--- a/internal/soak/users_test.go
+++ b/internal/soak/users_test.go
@@ -21,7 +21,8 @@
 	pollTimeout   = 2 * time.Second
 )
 
-// users submit jobs, ask about them and cancel some, at all controllers.
+// users submit jobs, ask about them and cancel some, through the load balancer. Right after a job was accepted or has
+// ended they ask all controllers.
 type users struct {
 	d      *deployment
 	group  sync.WaitGroup
@@ -79,7 +80,7 @@
 			u.cancel()
 			return
 		}
-		status, state := u.send(question, u.randomNode())
+		status, state := u.send(question, balancerNode)
 		if state == protocol.JobDone || state == protocol.JobCancelled {
 			u.askAll()
 			return
@@ -89,7 +90,7 @@
 			continue
 		}
 		if u.random.IntN(20) == 0 {
-			u.send(submission, u.randomNode()) // repeated
+			u.send(submission, balancerNode) // repeated
 		}
 		u.wait(time.Second + time.Duration(u.random.Int64N(int64(4*time.Second))))
 	}
@@ -121,7 +122,7 @@
 // submit submits the job until it is accepted. It returns false if that takes too long.
 func (u *user) submit() bool {
 	for start := u.users.d.since(); u.users.d.since()-start < submitFor && u.users.ctx.Err() == nil; {
-		status, _ := u.send(submission, u.randomNode())
+		status, _ := u.send(submission, balancerNode)
 		if status == http.StatusOK || status == http.StatusCreated {
 			return true
 		}
@@ -133,12 +134,17 @@
 // cancel cancels the job until that is confirmed or the job is done, and asks at all nodes then.
 func (u *user) cancel() {
 	for u.users.ctx.Err() == nil {
-		if status, _ := u.send(cancellation, u.randomNode()); status == http.StatusOK {
+		if status, _ := u.send(cancellation, balancerNode); status == http.StatusOK {
 			u.askAll()
 			return
 		}
-		if u.random.IntN(3) == 0 {
-			u.send(question, u.randomNode())
+		switch u.random.IntN(6) {
+		case 0, 1:
+			u.send(question, balancerNode)
+		case 2:
+			u.askAll()
+		case 3:
+			u.send(submission, balancerNode) // repeated
 		}
 		storage.SleepContext(u.users.ctx, time.Second)
 	}
@@ -153,15 +159,13 @@
 	}
 	if u.random.IntN(4) == 0 {
 		unknown := &user{users: u.users, spec: protocol.Spec{ID: u.spec.ID + "9"}, random: u.random}
-		unknown.send(question, u.randomNode())
+		unknown.send(question, balancerNode)
 	}
 	asking.Wait()
 }
 
-func (u *user) randomNode() string {
-	controllers := u.users.d.controllers
-	return controllers[u.random.IntN(len(controllers))].name
-}
+// balancerNode stands for whichever node the load balancer chooses.
+const balancerNode = "balancer"
 
 // send sends a request about the job to a node and records the answer.
 func (u *user) send(operation operation, node string) (status int, state protocol.JobState) {
@@ -190,6 +194,9 @@
 	ctx, stop := context.WithTimeout(context.Background(), timeout)
 	defer stop()
 	client := transport.NewClient(u.address(node), 0, limits.MaxBodyBytes)
+	if node == balancerNode {
+		client.WithDialer(u.users.d.balancer.Dial)
+	}
 	response, err := client.Do(ctx, method, target, body)
 	if err != nil {
 		return 0, ""
