Reservations: the order of a pass ends with it

Each later change of a machine was kept until the next pass began. Passes begin only while a job waits, so on a calm fleet after a pass with reservations the list grew with every task that ended, and kept deleted machines alive. Found by reading the change again; nobody has seen it.

The order is now dropped at the end of its pass, as changes concern it only within one. TestReservationOrderEndsWithItsPass failed before ("20 changes are kept after the pass, want none"); TestReservationOrderMatchesSort is as it was, so the same machines are reserved.

--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -20,6 +20,7 @@
 		return
 	}
 	s.placement.beginPass()
+	defer s.placement.endPass()
 	s.replaceLostGangTasks()
 	s.placeStarvedTasks()
 	for _, j := range jobs {
--- a/internal/coordination/scheduler/placer.go
+++ b/internal/coordination/scheduler/placer.go
@@ -113,7 +113,6 @@
 	pass.machines, pass.withFreeResources = pass.machines[:0], pass.withFreeResources[:0]
 	pass.maxFreeResources = resource.Vector{}
 	pass.clearUnplaceable()
-	pass.unreserved.reset()
 	for _, m := range p.inventory.all() {
 		m.wasReserved, m.reservedFor = m.reservedFor != nil, nil
 		if m.draining || !p.isSchedulable(m) || m.isAtTaskLimit() {
@@ -128,6 +127,9 @@
 	pass.reservationsLeft = (len(pass.machines) + limits.MachinesPerReservation - 1) / limits.MachinesPerReservation
 }
 
+// endPass ends a pass: later changes of machines do not concern it.
+func (p *placer) endPass() { p.pass.unreserved.reset() }
+
 // placementSearch is the search for machines for the tasks of one job in a pass.
 type placementSearch struct {
 	job       *job
--- a/internal/coordination/scheduler/reservation_order.go
+++ b/internal/coordination/scheduler/reservation_order.go
@@ -7,15 +7,19 @@
 
 // reservationOrder holds those machines of a placement pass that are not reserved, in the order of
 // compareReservations and then by name. With it, a reservation examines only the first machines instead of
-// sorting all of them. It is built for the first reservation of a pass and then kept up to date.
+// sorting all of them. It is built for the first reservation of a pass and then kept up to date until the pass ends.
 type reservationOrder struct {
 	machines []*machine
 	isBuilt  bool
 	changed  []*machine // machines whose place in the order may have changed since the last call of take
 }
 
-// reset begins a new pass.
-func (o *reservationOrder) reset() { o.isBuilt, o.changed = false, o.changed[:0] }
+// reset ends a pass. It keeps the memory for the next one, but no machine.
+func (o *reservationOrder) reset() {
+	clear(o.machines)
+	clear(o.changed)
+	o.machines, o.changed, o.isBuilt = o.machines[:0], o.changed[:0], false
+}
 
 // markChanged records that the resources or the reservation of a machine have changed.
 func (o *reservationOrder) markChanged(m *machine) {
--- a/internal/coordination/scheduler/reservation_order_test.go
+++ b/internal/coordination/scheduler/reservation_order_test.go
@@ -5,6 +5,10 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
+
+	"quillshunt/internal/protocol"
+	"quillshunt/internal/storage"
 )
 
 // newOrderMachines returns machines of 16 CPUs of which a random number is used, sorted by name.
@@ -73,3 +77,26 @@
 		t.Errorf("%d starved jobs have examined %d machines, want at most %d", starvedJobs, examined, 2*starvedJobs)
 	}
 }
+
+// TestReservationOrderEndsWithItsPass guards against a leader that keeps every later change of a machine, because no
+// job waits any more and no other pass begins.
+func TestReservationOrderEndsWithItsPass(t *testing.T) {
+	const machines = 20
+	s := newSchedulerOnFullFleet(machines)
+	s.Step(JobChanged{
+		JobID: "starved", Version: 1000, SinceSubmission: 5 * time.Minute,
+		Record: storage.OpenJob{Spec: protocol.Spec{
+			ID: "starved", Class: "large", Team: "red", Shape: "sweep", Priority: "standard",
+			Tasks: 4, CPUs: 8, MemoryGB: 1, Image: "i", EstimateS: 10,
+		}},
+	}, 2*time.Second)
+	if !slices.ContainsFunc(s.inventory.all(), func(m *machine) bool { return m.reservedFor != nil }) {
+		t.Fatal("no machine is reserved: nothing is tested")
+	}
+	for _, m := range s.inventory.all() {
+		s.placement.handleResourcesChanged(m)
+	}
+	if kept := len(s.placement.pass.unreserved.changed); kept != 0 {
+		t.Errorf("%d changes are kept after the pass, want none", kept)
+	}
+}
