--- a/internal/coordination/controller/cluster_test.go
+++ b/internal/coordination/controller/cluster_test.go
@@ -41,15 +41,16 @@
 	errorMu      sync.Mutex
 	errorEntries []string // log entries of level ERROR: violations of invariants at run time
 
-	mu            sync.Mutex
-	violations    []string          // one message for each violation of a rule
-	jobs          map[string]*job   // by ID
-	runningTasks  map[string]string // name of the machine that runs the task, by task name
-	taskStarts    int               // number of task starts observed on machines
-	submissions   int               // number of jobs created so far; part of the next job's ID
-	deletionsFail bool              // the cloud rejects requests to delete machines
-	rentalsFail   bool              // the cloud rejects requests to rent machines
-	userRequests  sync.WaitGroup    // goroutines that make user requests; not guarded by mu
+	mu             sync.Mutex
+	violations     []string          // one message for each violation of a rule
+	repeatedStarts []string          // forgotten attempts that copies of direct commands have or could have started
+	jobs           map[string]*job   // by ID
+	runningTasks   map[string]string // name of the machine that runs the task, by task name
+	taskStarts     int               // number of task starts observed on machines
+	submissions    int               // number of jobs created so far; part of the next job's ID
+	deletionsFail  bool              // the cloud rejects requests to delete machines
+	rentalsFail    bool              // the cloud rejects requests to rent machines
+	userRequests   sync.WaitGroup    // goroutines that make user requests; not guarded by mu
 }
 
 // clusterOptions are the sizes and limits of a cluster.
@@ -162,6 +163,7 @@
 		}},
 		State: c.state, Controllers: controllers, Log: c.log, Network: c.network, WorkerTimes: c.times,
 		JobSpec: c.jobSpec, OnTaskChange: c.onTaskChange, InjectFault: c.cloudFault,
+		OnRepeatedStart: c.onRepeatedStart,
 	})
 	go standin.ServeListener(c.network.Listen("cloud:1"), c.cloud.Server(""))
 	return c
--- a/internal/coordination/scheduler/simulation_network_test.go
+++ b/internal/coordination/scheduler/simulation_network_test.go
@@ -181,6 +181,9 @@
 	} else {
 		machine.fencingToken = term
 		s.executeCommands(machine, request.Commands)
+		if s.repeats != nil {
+			s.recordExecutedCall(machine, executedCall{term, request})
+		}
 		result.Heartbeat = s.newHeartbeat(machine)
 	}
 	if delay, ok := s.messageDelay(machine); ok {
--- /dev/null
+++ b/internal/coordination/scheduler/simulation_repeated_test.go
@@ -0,0 +1,81 @@
+package scheduler
+
+import (
+	"time"
+
+	"quillshunt/internal/protocol"
+)
+
+// executedCall is a direct command that a worker has executed and answered.
+type executedCall struct {
+	fencingToken uint64
+	request      SendDirectCommands
+}
+
+// Copies of executed direct commands.
+const (
+	repeatedCallShare    = 0.2              // of the calls that arrive again
+	maxRepeatedCalls     = 3                // copies of one call
+	shortestRepeatDelay  = time.Millisecond // until a copy arrives
+	longestRepeatDelay   = 10 * time.Millisecond
+	repeatDelayDoublings = 14 // the longest delay of a copy is a few minutes
+)
+
+// recordExecutedCall stores a direct command that a worker has executed, and sometimes schedules copies of it,
+// which arrive after milliseconds up to minutes and in any order. The copies have random numbers of their own,
+// so that the seeds of scenarios without a copy that starts a task keep their course.
+func (s *simulation) recordExecutedCall(machine *simulatedMachine, call executedCall) {
+	machine.executedCalls = append(machine.executedCalls, call)
+	if s.repeats.Float64() >= repeatedCallShare {
+		return
+	}
+	for range 1 + s.repeats.IntN(maxRepeatedCalls) {
+		longest := longestRepeatDelay << s.repeats.IntN(repeatDelayDoublings)
+		delay := shortestRepeatDelay + time.Duration(s.repeats.Int64N(int64(longest)))
+		s.afterFunc(delay, func() { s.deliverRepeatedCall(machine, call) })
+	}
+}
+
+// deliverRepeatedCall delivers a copy of a direct command that the worker has executed before. Nobody waits for
+// the answer.
+func (s *simulation) deliverRepeatedCall(machine *simulatedMachine, call executedCall) {
+	if machine.removed || machine.down {
+		return
+	}
+	if s.now < machine.hungUntil {
+		s.afterFunc(machine.hungUntil-s.now, func() { s.deliverRepeatedCall(machine, call) })
+		return
+	}
+	s.restartIfLeaseExpired(machine)
+	if machine.accepts(call) {
+		machine.fencingToken = call.fencingToken
+		s.executeCommands(machine, call.request.Commands)
+	}
+}
+
+// accepts reports whether the worker would execute a copy of a direct command.
+func (m *simulatedMachine) accepts(call executedCall) bool {
+	return call.fencingToken >= m.fencingToken && call.request.Incarnation == m.incarnation
+}
+
+// checkNoReplayableStart checks that no copy of an executed direct command would start an attempt that the worker
+// does not know any more. It is called after each change of the attempts that the worker knows. The attempts of a
+// gang that were forgotten and started once more are known again.
+func (s *simulation) checkNoReplayableStart(machine *simulatedMachine) {
+	for _, call := range machine.executedCalls {
+		if !machine.accepts(call) {
+			continue
+		}
+		for _, command := range call.request.Commands {
+			if command.Verb != protocol.CommandStart {
+				continue
+			}
+			if known, _ := machine.findTask(command); known == nil {
+				s.t.Fatalf("replayable start: at %v: machine %s has forgotten task %s attempt %x and would accept "+
+					"a copy of its direct start: fencing token %d, of the worker %d, incarnation %d",
+					s.now, machine.Name, command.Task, command.Attempt,
+					call.fencingToken, machine.fencingToken, machine.incarnation)
+			}
+		}
+	}
+}
--- a/internal/coordination/scheduler/simulation_scenario_test.go
+++ b/internal/coordination/scheduler/simulation_scenario_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"strconv"
 	"strings"
@@ -40,6 +41,16 @@
 	events.checkCoverage(t)
 }
 
+// TestForgottenAttemptIsNotStartedByRepeatedCommand guards against a task that runs once more because a copy of the
+// direct command that started it arrives after the worker has forgotten the attempt.
+func TestForgottenAttemptIsNotStartedByRepeatedCommand(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(t, rapid.Uint64().Draw(t, "seed"))
+		s.repeats = rand.New(rand.NewPCG(s.random.Uint64(), 17))
+		runRandomScenario(s)
+	})
+}
+
 // TestReplay simulates the scenario of one seed and prints all effects of the schedulers, to investigate
 // a failure of TestRules:
 // QUILLSHUNT_SEED=0x7ec8 go test ./internal/coordination/scheduler -run TestReplay -v
--- a/internal/coordination/scheduler/simulation_test.go
+++ b/internal/coordination/scheduler/simulation_test.go
@@ -13,9 +13,10 @@
 // visible outside the scheduler. All random values come from one generator, so that a seed reproduces a
 // run. The number and order of the draws must not change: otherwise a known seed no longer reproduces its run.
 type simulation struct {
-	t      interface{ Fatalf(string, ...any) }
-	random *rand.Rand
-	now    time.Duration
+	t       interface{ Fatalf(string, ...any) }
+	random  *rand.Rand
+	repeats *rand.Rand // for copies of direct commands that were executed; nil: there are none
+	now     time.Duration
 
 	faultFree          bool          // network faults have ended
 	longTasks          bool          // tasks run for longer than a cancellation may take
--- a/internal/coordination/scheduler/simulation_worker_test.go
+++ b/internal/coordination/scheduler/simulation_worker_test.go
@@ -38,6 +38,7 @@
 	nextHeartbeatAt  time.Duration
 	spotReclaimAt    time.Duration // when the cloud reclaims the machine after a spot notice; 0: no notice
 	tasks            []*simulatedTask
+	executedCalls    []executedCall // direct commands that were executed and answered; empty unless repeats is set
 }
 
 // remove removes the machine, which ends all its tasks.
@@ -272,6 +273,7 @@
 			}
 		}
 	}
+	s.checkNoReplayableStart(machine)
 }
 
 // addTask executes a start command. If the worker has no room for the task or another attempt of it has
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -37,6 +37,9 @@
 	OnTaskChange func(machine, task string, runs bool)
 	// OnCommands is called when a machine executes commands, with the fencing token that came with them.
 	OnCommands func(machine string, incarnation, fencingToken uint64)
+	// OnRepeatedStart is called when a copy of a direct command, which was executed before, starts an attempt that the
+	// machine has forgotten, and when a machine forgets an attempt that such a copy could start.
+	OnRepeatedStart func(machine, task string, attempt uint64, problem string)
 	// InjectFault is called for each request to the cloud. If it returns a status other than 0, the cloud
 	// responds with that status and does not execute the request.
 	InjectFault func(req *transport.Message) (status int)
@@ -53,9 +56,10 @@
 	workers         map[string]*worker  // by machine name
 	rentals         map[string][]string // machine names, by name of the rental request
 
-	resultsMu      sync.Mutex      // guards the two fields below
+	resultsMu      sync.Mutex      // guards the fields below
 	doneTasks      map[string]bool // tasks that completed on any machine
 	duplicateDelay func(machine string) (time.Duration, bool)
+	repeatDelays   func(machine string) []time.Duration
 
 	gangs *gangRegistry
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -48,6 +48,8 @@
 	leaseStart   time.Time        // when the heartbeat of the last accepted reply was sent, or the incarnation started
 	hungUntil    atomic.Int64     // in Unix nanoseconds; gangs read it without mu
 	tasks        map[string]*task // see taskKey
+
+	executedCalls []protocol.DirectCommands // of the present incarnation, with starts, oldest first
 }
 
 // run boots the machine and sends heartbeats until the context is cancelled.
@@ -201,6 +203,7 @@
 func (w *worker) restartIfLeaseExpired() {
 	if w.incarnation > 0 && w.isLeaseExpired() {
 		w.killAll()
+		w.executedCalls = nil
 		w.incarnation++
 		w.leaseStart = time.Now()
 	}
@@ -304,12 +307,13 @@
 	if err := protocol.Decode(body, &request); err != nil || request.Incarnation == 0 {
 		return http.StatusBadRequest, nil
 	}
-	if request.FencingToken < w.fencingToken || request.Incarnation != w.incarnation {
+	if !w.accepts(request) {
 		return http.StatusConflict, protocol.Encode(w.heartbeat())
 	}
 	w.fencingToken = request.FencingToken
 	w.notifyCommands()
 	w.executeCommands(request.Commands)
+	w.recordExecutedCall(request)
 	return http.StatusOK, protocol.Encode(w.heartbeat())
 }
 
--- a/internal/standin/worker_tasks.go
+++ b/internal/standin/worker_tasks.go
@@ -58,6 +58,7 @@
 			w.endTask(t, protocol.ReasonStopped)
 		case command.Verb == protocol.CommandForget && t != nil && t.State == protocol.TaskEnded:
 			delete(w.tasks, key)
+			w.checkForgotten(command)
 		}
 	}
 }
