--- a/internal/coordination/controller/cluster_test.go
+++ b/internal/coordination/controller/cluster_test.go
@@ -41,16 +41,15 @@
 	errorMu      sync.Mutex
 	errorEntries []string // log entries of level ERROR: violations of invariants at run time
 
-	mu             sync.Mutex
-	violations     []string          // one message for each violation of a rule
-	repeatedStarts []string          // forgotten attempts that copies of direct commands have or could have started
-	jobs           map[string]*job   // by ID
-	runningTasks   map[string]string // name of the machine that runs the task, by task name
-	taskStarts     int               // number of task starts observed on machines
-	submissions    int               // number of jobs created so far; part of the next job's ID
-	deletionsFail  bool              // the cloud rejects requests to delete machines
-	rentalsFail    bool              // the cloud rejects requests to rent machines
-	userRequests   sync.WaitGroup    // goroutines that make user requests; not guarded by mu
+	mu            sync.Mutex
+	violations    []string          // one message for each violation of a rule
+	jobs          map[string]*job   // by ID
+	runningTasks  map[string]string // name of the machine that runs the task, by task name
+	taskStarts    int               // number of task starts observed on machines
+	submissions   int               // number of jobs created so far; part of the next job's ID
+	deletionsFail bool              // the cloud rejects requests to delete machines
+	rentalsFail   bool              // the cloud rejects requests to rent machines
+	userRequests  sync.WaitGroup    // goroutines that make user requests; not guarded by mu
 }
 
 // clusterOptions are the sizes and limits of a cluster.
@@ -304,10 +303,10 @@
 
 // currentTerm returns the number of the latest term, as stored in the state service.
 func (c *cluster) currentTerm() uint64 {
-	key, _ := c.state.Get(storage.KeyTerm)
-	var record storage.TermRecord
+	key, _ := c.state.Get(storage.KeyLeaderHeartbeat)
+	var record storage.LeaderHeartbeat
 	if key.Version != 0 && protocol.Decode(key.Value, &record) != nil {
-		c.t.Fatal("cannot decode the term record of the state service")
+		c.t.Fatal("cannot decode the leader heartbeat of the state service")
 	}
 	return record.Term
 }
--- a/internal/coordination/controller/repeated_commands_test.go
+++ b/internal/coordination/controller/repeated_commands_test.go
@@ -79,11 +79,6 @@
 		time.Sleep(300 * time.Millisecond)
 	}
 	c.expect(copies > 0, "a machine has executed direct commands")
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, problem := range c.repeatedStarts {
-		c.t.Error(problem)
-	}
 }
 
 // startTaskDirectly submits jobs of one long task until a direct command has started one. It returns the task, its
@@ -125,6 +120,5 @@
 func (c *cluster) onRepeatedStart(machine, task string, attempt uint64, problem string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.repeatedStarts = append(c.repeatedStarts,
-		fmt.Sprintf("%s: task %s attempt %x on %s", problem, task, attempt, machine))
+	c.recordViolation("%s: task %s attempt %x on %s", problem, task, attempt, machine)
 }
--- a/internal/coordination/election/campaign.go
+++ b/internal/coordination/election/campaign.go
@@ -53,8 +53,8 @@
 	return nil
 }
 
-// readTerm returns the last term and the version of the term key, which is 0 before the first
-// election.
+// readTerm returns the term record and the version of the term key, which is 0 before the first election. The next
+// term is above all fencing tokens that were reserved before.
 func (e *Elector) readTerm(ctx context.Context) (last storage.TermRecord, version uint64, err error) {
 	key, err := e.options.Store.Get(ctx, storage.KeyTerm)
 	if err != nil {
@@ -77,7 +77,7 @@
 		Conditions: c.conditions,
 		Operations: []protocol.Operation{
 			{Put: storage.KeyLeader, Value: protocol.Encode(c.leader), Lease: c.leaseID},
-			{Put: storage.KeyTerm, Value: protocol.Encode(storage.TermRecord{Term: c.leader.Term})},
+			{Put: storage.KeyTerm, Value: protocol.Encode(storage.TermRecord{Term: lastFencingToken(c.leader.Term)})},
 			{Put: storage.KeyLeaderHeartbeat, Value: protocol.Encode(storage.LeaderHeartbeat{Term: c.leader.Term})},
 		},
 	})
--- a/internal/coordination/election/election_test.go
+++ b/internal/coordination/election/election_test.go
@@ -297,13 +297,50 @@
 		n.crash()
 		n.start()
 		time.Sleep(3 * time.Second)
-		if l := n.entitledLeadership(); l == nil || l.Term != first.Term+1 {
+		if l := n.entitledLeadership(); l == nil || l.Term != first.LastFencingToken+1 {
 			t.Fatalf("leadership after a restart is %+v, want the next term", l)
 		}
 		n.crash()
 	})
 }
 
+// TestTermBeginsAboveReservedTokens guards against a leader whose commands workers drop, or whose predecessor's they
+// execute: its term must be above all fencing tokens that were reserved, and the term key must reserve its own, which
+// is also what earlier versions begin after.
+func TestTermBeginsAboveReservedTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(0, 0)
+		n := c.addNode(rand.New(rand.NewPCG(1, 1)))
+		n.start()
+		time.Sleep(3 * time.Second)
+		first := n.entitledLeadership()
+		if first == nil {
+			t.Fatal("no leader was elected")
+		}
+		extended := first.LastFencingToken + limits.FencingTokensPerReservation
+		status, _ := c.service.CompareAndSwap(protocol.Transaction{
+			Conditions: []protocol.Condition{{Key: storage.KeyTerm, Version: first.KeyVersion}},
+			Operations: []protocol.Operation{
+				{Put: storage.KeyTerm, Value: protocol.Encode(storage.TermRecord{Term: extended})},
+			},
+		})
+		if status != http.StatusOK {
+			t.Fatalf("reservation under the version of the leader key got status %d", status)
+		}
+		n.crash()
+		n.start()
+		time.Sleep(3 * time.Second)
+		second := n.entitledLeadership()
+		if second == nil || second.Term != extended+1 {
+			t.Fatalf("leadership %+v after the reservation of token %d, want the next number as its term", second, extended)
+		}
+		if got := lastTerm(t, c.service); got != second.LastFencingToken || got <= second.Term {
+			t.Errorf("the term key reserves up to %d, want %d", got, second.LastFencingToken)
+		}
+		n.crash()
+	})
+}
+
 // TestIsolatedLeader checks a leader that cannot reach the other controllers. If it cannot reach the
 // state service either, it must stop being entitled, and another controller must lead long before
 // the leader lease expires. If it can, it must stay entitled by writing heartbeat records.
--- a/internal/coordination/election/leadership.go
+++ b/internal/coordination/election/leadership.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"quillshunt/internal/limits"
 	"quillshunt/internal/protocol"
 	"quillshunt/internal/storage"
 )
@@ -13,9 +14,12 @@
 // leader while it holds a valid leader lease and, if it needs votes, a valid quorum lease. The
 // elector extends both. IsEntitled may be called by any goroutine.
 type Leadership struct {
-	Term       uint64 // the fencing token; unique among terms
+	Term       uint64 // also the lowest fencing token of the term; unique among terms
 	KeyVersion uint64 // of the leader key; a condition of every write of the term
 
+	// LastFencingToken is the highest fencing token that was reserved for the term when it began.
+	LastFencingToken uint64
+
 	startedAt        time.Time
 	leaseUntil       atomic.Int64  // until when the leader lease is valid, in nanoseconds after startedAt
 	quorumUntil      atomic.Int64  // until when the quorum lease is valid, in nanoseconds after startedAt
@@ -26,12 +30,17 @@
 // NewLeadership returns a leadership that depends on the leader lease alone; see requireQuorum. The
 // lease is valid until the given time unless it is extended.
 func NewLeadership(term, keyVersion uint64, until time.Time) *Leadership {
-	l := &Leadership{Term: term, KeyVersion: keyVersion, startedAt: time.Now()}
+	l := &Leadership{
+		Term: term, KeyVersion: keyVersion, LastFencingToken: lastFencingToken(term), startedAt: time.Now(),
+	}
 	l.quorumUntil.Store(math.MaxInt64)
 	l.extendLease(until)
 	return l
 }
 
+// lastFencingToken returns the highest fencing token that the election reserves for a term.
+func lastFencingToken(term uint64) uint64 { return term + limits.FencingTokensPerReservation - 1 }
+
 // requireQuorum makes the leadership also depend on the quorum lease, which is valid until the given
 // time unless it is extended.
 func (l *Leadership) requireQuorum(until time.Time) {
--- a/internal/coordination/leader/direct_commands.go
+++ b/internal/coordination/leader/direct_commands.go
@@ -26,7 +26,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, limits.DirectCommandTimeout)
 	defer cancel()
 	heartbeat, err := sendDirectCommands(callCtx, worker, protocol.DirectCommands{
-		FencingToken: t.leadership.Term,
+		FencingToken: effect.FencingToken,
 		Incarnation:  effect.Incarnation,
 		Commands:     effect.Commands,
 	})
@@ -38,12 +38,9 @@
 		done.NotExecuted = true
 	case errors.As(err, &rejected):
 		done.NotExecuted = true
-		if rejected.heartbeat.FencingToken > t.leadership.Term {
-			t.reportTermLost()
-		}
-	default:
-		t.log.Debug("direct commands not confirmed by the worker", "machine", effect.Machine, "err", err)
+		t.checkFencingToken(rejected.heartbeat)
 	}
+	t.logDirectCommands(effect, err)
 	t.sendEvent(ctx, done)
 }
 
--- a/internal/coordination/leader/direct_commands_test.go
+++ b/internal/coordination/leader/direct_commands_test.go
@@ -52,8 +52,8 @@
 	}
 }
 
-// TestExecuteDirectCommands checks that the outcome is sent to the scheduler, and that the elector is
-// notified of the end of the term if the worker has received the fencing token of a later leader.
+// TestExecuteDirectCommands checks that the outcome is sent to the scheduler. The fencing token of a worker is no
+// reason to end the term while the leader is entitled.
 func TestExecuteDirectCommands(t *testing.T) {
 	heartbeat := func(token uint64) protocol.Heartbeat {
 		return protocol.Heartbeat{Machine: "m-1", Address: "a:1", FencingToken: token}
@@ -69,7 +69,10 @@
 	}{
 		{"executed", startWorker(t, http.StatusOK, heartbeat(1)), true, false, true, false},
 		{"rejected", startWorker(t, http.StatusConflict, heartbeat(1)), true, true, false, false},
-		{"rejected for a later leader", startWorker(t, http.StatusConflict, heartbeat(2)), true, true, false, true},
+		{
+			"rejected with a token that is not reserved", startWorker(t, http.StatusConflict, heartbeat(1<<40)),
+			true, true, false, false,
+		},
 		{"outcome unknown", startWorker(t, http.StatusInternalServerError, nil), true, false, false, false},
 		{"not sent", unreachable, true, true, false, false},
 		{"leader not entitled", startWorker(t, http.StatusOK, heartbeat(1)), false, true, false, false},
@@ -95,3 +98,36 @@
 		})
 	}
 }
+
+// TestLaterLeaderEndsTerm checks that the elector is notified of the end of the term if a worker has received the
+// fencing token of a later leader, which can only be once this leader is not entitled any more.
+func TestLaterLeaderEndsTerm(t *testing.T) {
+	last := election.NewLeadership(1, 1, time.Now()).LastFencingToken
+	for _, c := range []struct {
+		token    uint64
+		termLost bool
+	}{
+		{last, false},
+		{last + 1, true},
+	} {
+		leadership := election.NewLeadership(1, 1, time.Now().Add(time.Second))
+		rejectLate := func(_ *transport.Message, rsp *transport.Responder) {
+			go func() {
+				for leadership.IsEntitled() {
+					time.Sleep(10 * time.Millisecond)
+				}
+				heartbeat := protocol.Heartbeat{Machine: "m-1", Address: "a:1", FencingToken: c.token}
+				rsp.Respond(http.StatusConflict, protocol.Encode(heartbeat), 0)
+			}()
+		}
+		worker := transport.NewClient(startServer(t, rejectLate), 1, limits.MaxBodyBytes)
+		termLost := false
+		actor := newTestActor(leadership)
+		actor.dispatcher.onTermLost = func(uint64) { termLost = true }
+		actor.executeDirectCommands(context.Background(), scheduler.SendDirectCommands{ID: 5, Machine: "m-1"}, worker)
+		worker.CloseIdleConnections()
+		if termLost != c.termLost {
+			t.Errorf("worker with token %d: term reported as lost: %v, want %v", c.token, termLost, c.termLost)
+		}
+	}
+}
--- a/internal/coordination/leader/effects.go
+++ b/internal/coordination/leader/effects.go
@@ -29,6 +29,8 @@
 		go t.executeListMachines(ctx)
 	case scheduler.FetchMachineTypes:
 		go t.refreshMachineTypes(ctx)
+	case scheduler.AttemptRestarted:
+		t.reportRestartedAttempt(effect)
 	case scheduler.CommandsWithheld:
 		t.countWithheld(effect)
 	case scheduler.TaskCounts:
@@ -56,7 +58,8 @@
 	default:
 		t.countHeartbeat(metrics.HeartbeatAccepted)
 		t.countCommands(metrics.ChannelHeartbeat, reply.Commands)
-		reply.ReplyTo.Accept(protocol.HeartbeatReply{FencingToken: t.leadership.Term, Commands: reply.Commands})
+		t.logForgets(reply)
+		reply.ReplyTo.Accept(protocol.HeartbeatReply{FencingToken: reply.FencingToken, Commands: reply.Commands})
 	}
 }
 
--- a/internal/coordination/leader/probes.go
+++ b/internal/coordination/leader/probes.go
@@ -13,7 +13,7 @@
 	"quillshunt/internal/transport"
 )
 
-// executeProbe asks the worker on a machine for its tasks and sends it this term's fencing token. From
+// executeProbe asks the worker on a machine for its tasks and sends it a fencing token of this term. From
 // then on the worker rejects commands of earlier terms, so that earlier leaders can no longer change
 // what it has reported.
 func (t *termActor) executeProbe(ctx context.Context, probe scheduler.ProbeMachine) {
@@ -34,7 +34,7 @@
 	worker := t.dispatcher.newWorkerClient(probe.Address)
 	defer worker.CloseIdleConnections()
 	startedAt := time.Now()
-	heartbeat, err := t.probeWorker(probeCtx, worker)
+	heartbeat, err := t.probeWorker(probeCtx, worker, probe.FencingToken)
 	if err != nil {
 		t.log.Debug("probe of machine failed", "machine", probe.Machine, "err", err)
 	}
@@ -53,10 +53,11 @@
 	return slowAt != 0 && t.now()-time.Duration(slowAt) < limits.ProbePause
 }
 
-// probeWorker asks a worker for its incarnation, sends it an empty list of commands with this term's
-// fencing token, and returns the heartbeat in the second reply. The heartbeat is not nil if the error
-// is nil.
-func (t *termActor) probeWorker(ctx context.Context, worker *transport.Client) (*protocol.Heartbeat, error) {
+// probeWorker asks a worker for its incarnation, sends it an empty list of commands with a fencing token of this
+// term, and returns the heartbeat in the second reply. The heartbeat is not nil if the error is nil.
+func (t *termActor) probeWorker(
+	ctx context.Context, worker *transport.Client, fencingToken uint64,
+) (*protocol.Heartbeat, error) {
 	response, err := worker.Do(ctx, http.MethodGet, "/status", nil)
 	if err != nil {
 		return nil, err
@@ -72,7 +73,7 @@
 		return nil, fmt.Errorf("worker: send commands: %w", errNotEntitled)
 	}
 	return sendDirectCommands(ctx, worker, protocol.DirectCommands{
-		FencingToken: t.leadership.Term,
+		FencingToken: fencingToken,
 		Incarnation:  heartbeat.Incarnation,
 	})
 }
--- a/internal/coordination/leader/probes_test.go
+++ b/internal/coordination/leader/probes_test.go
@@ -13,7 +13,7 @@
 
 // newTestActor returns an actor without a scheduler. Its mailbox has room for one message.
 func newTestActor(leadership *election.Leadership) *termActor {
-	return &termActor{
+	actor := &termActor{
 		dispatcher: &Dispatcher{onTermLost: func(uint64) {}},
 		leadership: leadership,
 		mailbox:    make(chan message, 1),
@@ -21,6 +21,8 @@
 		startedAt:  time.Now(),
 		log:        slog.New(slog.DiscardHandler),
 	}
+	actor.lastFencingToken.Store(leadership.LastFencingToken)
+	return actor
 }
 
 // TestProbeNotSentAfterSlowHeartbeat checks that shortly after a heartbeat had to wait long in the mailbox,
--- a/internal/coordination/leader/term_actor.go
+++ b/internal/coordination/leader/term_actor.go
@@ -43,8 +43,11 @@
 	// longer than limits.SlowHeartbeatThreshold, in nanoseconds since the term began; 0 if none has.
 	// Goroutines that probe machines read it.
 	lastSlowHeartbeatAt atomic.Int64
-	lastCounters        resourceCounters // at the last summary log entry
-	decisions           metrics.Counts   // since the last summary log entry
+	// lastFencingToken is the highest fencing token that is reserved for the term. Goroutines that send direct commands
+	// read it.
+	lastFencingToken atomic.Uint64
+	lastCounters     resourceCounters // at the last summary log entry
+	decisions        metrics.Counts   // since the last summary log entry
 }
 
 // newTermActor returns the actor of a term that starts now.
@@ -55,7 +58,7 @@
 	if options.Fleet.MaxMachines == 0 {
 		options.Fleet.MaxMachines = shares.MaxMachines
 	}
-	return &termActor{
+	actor := &termActor{
 		dispatcher:    d,
 		leadership:    leadership,
 		startedAt:     time.Now(),
@@ -81,8 +84,13 @@
 			CloudRPS:   facts.Cloud.RPS * limits.CloudRateShare,
 			CoreShare:  facts.MachineLimits.CoreShare,
 			Options:    options,
+
+			LastFencingToken: leadership.LastFencingToken,
+			TermKeyVersion:   leadership.KeyVersion, // the election writes both keys
 		}, 0),
 	}
+	actor.lastFencingToken.Store(actor.scheduler.LastFencingToken())
+	return actor
 }
 
 // now returns the time since the term started. The scheduler uses it as its clock.
@@ -152,9 +160,7 @@
 		msg.respond(http.StatusBadRequest, nil)
 		return
 	}
-	if heartbeat.FencingToken > t.leadership.Term {
-		t.reportTermLost() // the worker has received the fencing token of a later leader
-	}
+	t.checkFencingToken(&heartbeat)
 	t.step(ctx, scheduler.HeartbeatReceived{
 		Heartbeat:      &heartbeat,
 		ReplyTo:        msg.respond,
@@ -177,6 +183,7 @@
 		took = 0 // no heartbeat has waited long
 	}
 	t.scheduler.RecordDuration(took)
+	t.lastFencingToken.Store(t.scheduler.LastFencingToken()) // before any effect sends a token to a worker
 	t.cancellations.handleEvent(event)
 	for _, effect := range effects {
 		t.executeEffect(ctx, effect)
--- a/internal/coordination/scheduler/assignment.go
+++ b/internal/coordination/scheduler/assignment.go
@@ -39,6 +39,7 @@
 	state    assignmentState
 
 	directID         uint64        // ID of the direct command that carries the start and has no outcome yet, or 0
+	directToken      uint64        // fencing token of the direct command that carried the start, or 0
 	startUnconfirmed bool          // a direct command with the start got no reply; the start may still arrive
 	startRepeated    bool          // the start was sent again in a heartbeat reply
 	assignedAt       time.Duration // time of the assignment or, once its start was sent, of that start
@@ -54,17 +55,11 @@
 
 // endedTask is an ended attempt that its machine still lists.
 type endedTask struct {
-	// startMayArrive means that a start of this attempt may still arrive. A worker that has forgotten the
-	// attempt would then run it again.
-	startMayArrive bool
-	job            *job   // nil if there is no result to record
-	chunk          int    // the chunk of the job's finished tasks that contains the result
-	sequence       uint64 // the chunk contains the result from this sequence number on
+	job      *job   // nil if there is no result to record
+	chunk    int    // the chunk of the job's finished tasks that contains the result
+	sequence uint64 // the chunk contains the result from this sequence number on
 }
 
-// mayForget reports whether the worker may be instructed to forget the attempt.
-func (e endedTask) mayForget() bool { return !e.startMayArrive && e.isDurable() }
-
 // isDurable reports whether the result is in the state service, or there is none that must be recorded.
 func (e endedTask) isDurable() bool {
 	return e.job == nil || e.job.closed || e.job.chunks[e.chunk].durableSequence >= e.sequence
--- a/internal/coordination/scheduler/bench_test.go
+++ b/internal/coordination/scheduler/bench_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quillshunt/internal/config"
+	"quillshunt/internal/limits"
 	"quillshunt/internal/protocol"
 	"quillshunt/internal/storage"
 )
@@ -74,7 +75,7 @@
 	options := config.DefaultOptions()
 	options.Fleet.MaxMachines = setup.machines
 	s := New(Config{
-		Term: 1,
+		Term: 1, LastFencingToken: limits.FencingTokensPerReservation,
 		Teams: []config.Team{
 			{Name: "red", GuaranteedCPUs: 100, MaxCPUs: 20000},
 			{Name: "blue", GuaranteedCPUs: 100, MaxCPUs: 20000},
--- a/internal/coordination/scheduler/commands.go
+++ b/internal/coordination/scheduler/commands.go
@@ -75,6 +75,9 @@
 			continue
 		}
 		switch {
+		case channel == inDirectCommand && !a.mayStartDirectly():
+			t.withhold(WithheldGang, 1)
+			continue
 		case a.committed:
 			// committedResources includes its demand already; see commitGangs.
 		case a.job.gang != nil:
@@ -88,7 +91,7 @@
 		}
 		a.state, a.assignedAt = stateSent, t.now
 		if channel == inDirectCommand {
-			a.directID = t.dispatcher.peekNextID()
+			a.directID, a.directToken = t.dispatcher.peekNextID(), t.fencingTokenOf(m)
 		}
 		commands = append(commands, a.startCommand())
 		if len(commands) >= limits.MaxCommands {
--- a/internal/coordination/scheduler/dispatcher.go
+++ b/internal/coordination/scheduler/dispatcher.go
@@ -72,12 +72,17 @@
 func (d *commandDispatcher) send(m *machine, commands []protocol.Command) {
 	m.pendingDirectID = d.allocateID()
 	d.inFlight++
+	if slices.ContainsFunc(commands, isStart) {
+		m.directStartToken = d.fencingTokenOf(m)
+	}
 	d.emit(SendDirectCommands{
 		ID:          m.pendingDirectID,
 		Machine:     m.name,
 		Address:     m.address,
 		Incarnation: m.incarnation,
 		Commands:    commands,
+
+		FencingToken: d.fencingTokenOf(m),
 	})
 }
 
@@ -92,10 +97,11 @@
 	return true
 }
 
-// sendCorrections sends the commands that reconcileTasks returned: stops of unexpected tasks and commands to
-// forget ended ones. If a direct command cannot be sent now, they are dropped, and the next heartbeat of the
-// machine produces them again.
+// sendCorrections sends the stops of unexpected tasks among the commands that reconcileTasks returned. If a direct
+// command cannot be sent now, they are dropped. The next heartbeat of the machine produces the dropped commands again,
+// and the commands to forget ended tasks, see fenceForgets.
 func (d *commandDispatcher) sendCorrections(m *machine, commands []protocol.Command) {
+	commands = withoutForgets(commands)
 	if len(commands) > 0 && d.canSendTo(m) {
 		d.send(m, commands)
 	}
--- a/internal/coordination/scheduler/effects.go
+++ b/internal/coordination/scheduler/effects.go
@@ -19,7 +19,11 @@
 	Accepted bool
 	Redirect bool
 	Reason   WithheldReason // why the heartbeat is rejected, "" otherwise
-	Commands []protocol.Command
+
+	Machine          string
+	FencingToken     uint64 // of the reply
+	DirectStartToken uint64 // the highest one of the direct commands with starts that the worker was sent, or 0
+	Commands         []protocol.Command
 }
 
 // WriteRecords executes one transaction on the state service. The leader adds the condition that it
@@ -31,9 +35,12 @@
 	Operations []protocol.Operation
 }
 
-// ProbeMachine asks a machine's worker for its tasks and shows it the fencing token of this term. The
+// ProbeMachine asks a machine's worker for its tasks and shows it a fencing token of this term. The
 // outcome is a ProbeDone.
-type ProbeMachine struct{ Machine, Address string }
+type ProbeMachine struct {
+	Machine, Address string
+	FencingToken     uint64
+}
 
 // SendDirectCommands sends commands to a worker without waiting for its next heartbeat. The outcome is
 // a DirectCommandsDone with the same ID.
@@ -43,6 +50,8 @@
 	Address     string
 	Incarnation uint64 // the worker's; a worker of another incarnation rejects the commands
 	Commands    []protocol.Command
+
+	FencingToken uint64
 }
 
 // RentMachines requests machines from the cloud and retries until the cloud replies. The outcome is a
@@ -63,6 +72,16 @@
 // withheld for several steps is counted in each.
 type CommandsWithheld struct{ Counts map[WithheldReason]int }
 
+// AttemptRestarted reports that a worker runs an attempt of this term again after it has ended, which no message
+// should cause. The worker is instructed to stop it.
+type AttemptRestarted struct {
+	Machine      string
+	Incarnation  uint64
+	Task         string
+	Attempt      uint64
+	FencingToken uint64 // of the next message to the worker
+}
+
 // TaskCounts answers a TaskCountsRequested.
 type TaskCounts struct {
 	ReplyTo       chan<- TaskCounts
@@ -92,6 +111,7 @@
 func (ListMachines) effect()       {}
 func (FetchMachineTypes) effect()  {}
 func (CommandsWithheld) effect()   {}
+func (AttemptRestarted) effect()   {}
 func (TaskCounts) effect()         {}
 func (SnapshotTaken) effect()      {}
 func (LogEntry) effect()           {}
--- a/internal/coordination/scheduler/evidence_test.go
+++ b/internal/coordination/scheduler/evidence_test.go
@@ -20,6 +20,7 @@
 	if len(direct) != 1 || countVerb(direct[0].Commands, protocol.CommandStart) != 8 {
 		t.Fatalf("want one direct command with 8 starts: %+v", f.effects)
 	}
+	f.step(DirectCommandsDone{ID: direct[0].ID, Machine: direct[0].Machine}) // no reply
 	done, other := completedStatus(direct[0].Commands[0]), runningStatus(direct[0].Commands[1])
 	if done.Task != "job-1/0" || other.Task != "job-1/1" {
 		t.Fatalf("starts not in the order of the tasks: %+v", direct[0].Commands)
@@ -317,7 +318,7 @@
 func TestHeartbeatWhileNotEntitled(t *testing.T) {
 	f := newSchedulerFixture(t, 1)
 	heartbeat, laterTerm := f.heartbeatWithSequence(0, 50), f.heartbeatWithSequence(0, 50)
-	laterTerm.FencingToken = 4
+	laterTerm.FencingToken = f.scheduler.LastFencingToken() + 1
 	for _, e := range []HeartbeatReceived{{Heartbeat: heartbeat}, {Heartbeat: laterTerm, Entitled: true}} {
 		for _, reply := range effectsOf[HeartbeatReply](f.step(e)) {
 			if reply.Accepted {
--- a/internal/coordination/scheduler/heartbeat.go
+++ b/internal/coordination/scheduler/heartbeat.go
@@ -10,6 +10,9 @@
 func (s *Scheduler) handleHeartbeat(e HeartbeatReceived) {
 	heartbeat := e.Heartbeat
 	if reason := s.rejectionReason(e); reason != "" {
+		if reason == WithheldLaterTerm {
+			s.tokens.warnLaterTerm(heartbeat)
+		}
 		s.rejectHeartbeat(e, reason)
 		return
 	}
@@ -35,7 +38,7 @@
 		return WithheldNotEntitled
 	case !e.Heartbeat.IsValid():
 		return WithheldMalformed
-	case e.Heartbeat.FencingToken > s.cfg.Term:
+	case s.tokens.isOfLaterTerm(e.Heartbeat.FencingToken):
 		return WithheldLaterTerm
 	case s.inventory.isDeleted(e.Heartbeat.Machine):
 		return WithheldMachineDeleted
@@ -43,6 +46,17 @@
 	return ""
 }
 
+// acceptHeartbeat answers a heartbeat with commands and renews the worker's lease. The machine is nil if it is unknown.
+func (s *Scheduler) acceptHeartbeat(e HeartbeatReceived, m *machine, commands []protocol.Command) {
+	reply := HeartbeatReply{
+		ReplyTo: e.ReplyTo, Accepted: true, Machine: e.Heartbeat.Machine, FencingToken: s.cfg.Term, Commands: commands,
+	}
+	if m != nil {
+		reply.FencingToken, reply.DirectStartToken = s.fencingTokenOf(m), m.directStartToken
+	}
+	s.emit(reply)
+}
+
 // rejectHeartbeat answers a heartbeat without renewing the worker's lease.
 func (s *Scheduler) rejectHeartbeat(e HeartbeatReceived, reason WithheldReason) {
 	s.emit(HeartbeatReply{ReplyTo: e.ReplyTo, Reason: reason})
@@ -62,6 +76,7 @@
 	// that the worker still receives replies.
 	s.reachability.setVerified(m, !m.fenced || (e.SameConnection && !s.isStale(m)))
 	s.reachability.observeIncarnation(m, heartbeat)
+	s.tokens.observe(m, heartbeat.FencingToken)
 	m.heartbeatSequence, m.address = heartbeat.Sequence, heartbeat.Address
 	m.lastHeartbeatAt = s.now
 	s.registerMachine(m)
@@ -72,7 +87,7 @@
 	}
 	if !s.mayRenewLease(m, heartbeat) {
 		s.rejectHeartbeat(e, WithheldCancelledTask)
-		s.dispatcher.sendOverdueStops(m, s.assignments.appendStops(m, commands))
+		s.dispatcher.sendOverdueStops(m, s.assignments.appendStops(m, withoutForgets(commands)))
 		return
 	}
 	m.leaseRenewedAt = s.now
@@ -84,9 +99,9 @@
 		s.prober.probeIfDue(m)
 	}
 	s.updatePlacement()
-	commands = s.assignments.buildCommands(m, inHeartbeatReply, commands)
+	commands = s.assignments.buildCommands(m, inHeartbeatReply, s.tokens.fenceForgets(m, commands))
 	m.dispatchQueued, m.lastCommands = false, commands
-	s.emit(HeartbeatReply{ReplyTo: e.ReplyTo, Accepted: true, Commands: commands})
+	s.acceptHeartbeat(e, m, commands)
 }
 
 // replyToOutdatedHeartbeat replies to a delayed or duplicate heartbeat. It usually rejects the heartbeat,
@@ -102,7 +117,7 @@
 	case !s.mayRenewLease(m, e.Heartbeat):
 		s.rejectHeartbeat(e, WithheldCancelledTask)
 	default:
-		s.emit(HeartbeatReply{ReplyTo: e.ReplyTo, Accepted: true, Commands: m.commandsToRepeat()})
+		s.acceptHeartbeat(e, m, m.commandsToRepeat())
 	}
 }
 
@@ -139,5 +154,5 @@
 		// when it marked the machine as fenced is late enough.
 		m.leaseRenewedAt = s.now
 	}
-	s.emit(HeartbeatReply{ReplyTo: e.ReplyTo, Accepted: true, Commands: s.stopsOfCancelledTasks(e.Heartbeat)})
+	s.acceptHeartbeat(e, m, s.stopsOfCancelledTasks(e.Heartbeat))
 }
--- a/internal/coordination/scheduler/log_keys.go
+++ b/internal/coordination/scheduler/log_keys.go
@@ -13,6 +13,7 @@
 	keyType     = "type"    // machine type
 	keyZone     = "zone"
 	keySpot     = "spot"
+	keyToken    = "token" // fencing token
 
 	keySinceCancellation = "since_cancellation" // time since the user may have been notified
 )
--- a/internal/coordination/scheduler/machine.go
+++ b/internal/coordination/scheduler/machine.go
@@ -17,6 +17,7 @@
 	machineReachability
 	leaseState
 	machineCommands
+	workerFencing
 	machineLoad
 	machineLifecycle
 	machineHealth
@@ -65,6 +66,7 @@
 type machineLoad struct {
 	assignments       map[string]*assignment // by task name
 	endedTasks        map[attemptKey]endedTask
+	restartedAttempt  attemptKey               // the last one that was reported as running again after its end
 	allocated         resource.Vector          // total demand of all assignments
 	stoppingResources resource.Vector          // the part of allocated whose tasks are being stopped
 	cachedImages      map[string]time.Duration // when each image was last seen in the machine's cache
--- a/internal/coordination/scheduler/pending_write.go
+++ b/internal/coordination/scheduler/pending_write.go
@@ -35,6 +35,9 @@
 // registryPageRemoval removes a page that has no machines.
 type registryPageRemoval struct{}
 
+// tokenReservation writes the term key, which reserves fencing tokens for the term.
+type tokenReservation struct{ last uint64 }
+
 func (chunkWrite) pendingWrite()           {}
 func (finalJobWrite) pendingWrite()        {}
 func (finishedTasksRemoval) pendingWrite() {}
@@ -42,6 +45,7 @@
 func (rentalRemoval) pendingWrite()        {}
 func (registryPageWrite) pendingWrite()    {}
 func (registryPageRemoval) pendingWrite()  {}
+func (tokenReservation) pendingWrite()     {}
 
 // handleWriteCompleted passes the outcome of a write to the part that requested it. Outcomes of removals of
 // finished tasks and registry pages need no further action.
@@ -58,5 +62,7 @@
 		s.rentals.handleRemovalWritten(write, e.Committed)
 	case registryPageWrite:
 		s.handleRegistryPageWritten(write, e.Committed, e.Version)
+	case tokenReservation:
+		s.tokens.handleReservationWritten(write, e)
 	}
 }
--- a/internal/coordination/scheduler/prober.go
+++ b/internal/coordination/scheduler/prober.go
@@ -101,7 +101,7 @@
 		return
 	}
 	m.nextProbeAt = p.now + limits.ProbeInterval
-	p.emit(ProbeMachine{Machine: m.name, Address: m.address})
+	p.emit(ProbeMachine{Machine: m.name, Address: m.address, FencingToken: p.fencingTokenOf(m)})
 }
 
 // isInVerificationGracePeriod reports whether to delay the probe of an unverified machine. If many machines
@@ -145,7 +145,7 @@
 		}
 		return
 	}
-	if heartbeat.Machine != e.Machine || !heartbeat.IsValid() || heartbeat.FencingToken != s.cfg.Term ||
+	if heartbeat.Machine != e.Machine || !heartbeat.IsValid() || !s.tokens.isOfTerm(heartbeat.FencingToken) ||
 		m.isOutdated(heartbeat, m.taskListSequence) {
 		return
 	}
--- a/internal/coordination/scheduler/reachability.go
+++ b/internal/coordination/scheduler/reachability.go
@@ -103,7 +103,7 @@
 		m.firstReportAt, m.idleSince = r.now, r.now
 	}
 	m.hasReported, m.incarnation = true, heartbeat.Incarnation
-	if heartbeat.FencingToken == r.cfg.Term && !m.fenced {
+	if heartbeat.FencingToken >= r.cfg.Term && !m.fenced {
 		m.fenced = true
 		m.leaseRenewedAt = max(m.leaseRenewedAt, r.now)
 		r.placement.requestPass()
--- a/internal/coordination/scheduler/reconcile.go
+++ b/internal/coordination/scheduler/reconcile.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "quillshunt/internal/protocol"
+import (
+	"quillshunt/internal/limits"
+	"quillshunt/internal/protocol"
+)
 
 // reconcileTasks updates the assignments to a machine from a task list of its worker. It returns
 // commands to stop unexpected tasks and to forget ended ones. The list comes from a heartbeat if
@@ -27,7 +30,7 @@
 				listed[status.Task] = true
 			}
 			endedTasks[attemptKeyOf(status)] = ended
-			if ended.mayForget() {
+			if ended.isDurable() {
 				commands = append(commands, forgetCommand(status))
 			}
 			continue
@@ -39,7 +42,7 @@
 		commands = append(commands, s.stopUnexpectedTask(m.name, j, status))
 	}
 	m.endedTasks = endedTasks
-	s.reconcileMissingTasks(m, listed, directID)
+	s.reconcileMissingTasks(m, listed, heartbeat.FencingToken, directID)
 	return commands
 }
 
@@ -51,7 +54,6 @@
 ) (ended endedTask, isAssigned bool) {
 	a := m.assignments[status.Task]
 	isAssigned = a != nil && a.attempt == status.Attempt
-	startMayArrive := isAssigned && (a.directID != 0 || a.startUnconfirmed)
 	if isAssigned {
 		a.confirmStart()
 	}
@@ -62,7 +64,6 @@
 		// attempt number, which all tasks of a gang share. The worker ignores the new start as long as
 		// it is not instructed to forget the attempt.
 		s.assignments.release(a)
-		ended.startMayArrive = ended.startMayArrive || startMayArrive
 		return ended, true
 	case alreadyEnded:
 		return ended, false
@@ -95,6 +96,10 @@
 // is its job, or nil if it is unknown. It returns false if the task must not run there.
 func (s *Scheduler) reconcileActiveTask(m *machine, j *job, index int, status *protocol.TaskStatus) bool {
 	a := m.assignments[status.Task]
+	if s.isRestarted(a, status) {
+		s.reportRestarted(m, status)
+		return false
+	}
 	if a != nil && a.state != stateUnsent && status.Attempt > a.attempt {
 		// The worker has a later attempt than the assigned one. Attempt numbers only increase, so the
 		// assigned attempt has ended.
@@ -129,6 +134,26 @@
 	return true
 }
 
+// isRestarted reports whether an active attempt has ended before: this leader has started it, and released it on the
+// evidence that it could not run there any more. The parameter a is the task's assignment to the machine, or nil.
+func (s *Scheduler) isRestarted(a *assignment, status *protocol.TaskStatus) bool {
+	if status.Attempt>>limits.AttemptTermShift != s.cfg.Term {
+		return false
+	}
+	return a == nil || a.attempt != status.Attempt || a.state == stateUnsent
+}
+
+// reportRestarted reports an attempt that runs again after it has ended.
+func (s *Scheduler) reportRestarted(m *machine, status *protocol.TaskStatus) {
+	if key := attemptKeyOf(status); m.restartedAttempt != key {
+		m.restartedAttempt = key
+		s.emit(AttemptRestarted{
+			Machine: m.name, Incarnation: m.incarnation, Task: status.Task, Attempt: status.Attempt,
+			FencingToken: s.fencingTokenOf(m),
+		})
+	}
+}
+
 // mayAdopt reports whether a task that a machine runs unexpectedly can be assigned to that machine: the
 // task is not done, and no start was sent for its current assignment, if it has one.
 func (j *job) mayAdopt(index int) bool {
@@ -147,7 +172,7 @@
 
 // reconcileMissingTasks releases the tasks of a machine that its worker does not list, if that proves
 // that they neither run there nor can start there any more.
-func (s *Scheduler) reconcileMissingTasks(m *machine, listed map[string]bool, directID uint64) {
+func (s *Scheduler) reconcileMissingTasks(m *machine, listed map[string]bool, workerToken, directID uint64) {
 	for _, a := range m.sortedAssignments() {
 		switch {
 		case a.state == stateUnsent || listed[a.taskName]:
@@ -155,7 +180,7 @@
 		case a.state != stateSent:
 			s.logWarn("task missing from its worker",
 				keyJob, a.job.id, keyTask, a.index, keyAttempt, a.attempt, keyMachine, m.name)
-		case a.startMayArriveAfter(directID):
+		case a.startMayArriveAfter(workerToken, directID):
 			continue
 		case directID == 0:
 			s.reachability.setVerified(m, false) // the heartbeat reply with the start did not arrive
@@ -165,16 +190,19 @@
 }
 
 // startMayArriveAfter reports whether the start of a task may still arrive after the worker has sent a
-// task list without that task. The parameter directID is that of reconcileTasks.
+// task list without that task. The parameter workerToken is the fencing token that the worker had then, and directID
+// is that of reconcileTasks.
 //
 // After the reply to a direct command, the starts in that command can no longer arrive. After a
 // heartbeat, the starts in replies to earlier heartbeats can no longer arrive: a worker has only one
-// heartbeat in flight and sends the next one only once it no longer waits for the reply.
-func (a *assignment) startMayArriveAfter(directID uint64) bool {
-	if a.startUnconfirmed {
-		return true // a direct command with the start got no reply
+// heartbeat in flight and sends the next one only once it no longer waits for the reply. A direct command without a
+// reply can no longer arrive once the worker has a higher fencing token.
+func (a *assignment) startMayArriveAfter(workerToken, directID uint64) bool {
+	if !a.startUnconfirmed {
+		return a.directID != directID
 	}
-	return a.directID != directID
+	inHeartbeatReply := a.startRepeated && directID != 0
+	return workerToken <= a.directToken || inHeartbeatReply
 }
 
 // attemptKey identifies one attempt of one task.
--- a/internal/coordination/scheduler/scheduler.go
+++ b/internal/coordination/scheduler/scheduler.go
@@ -13,7 +13,7 @@
 // Config holds the term, the settings and the properties of the cluster that the scheduler needs. It
 // does not change during a term.
 type Config struct {
-	Term       uint64 // also the leader's fencing token
+	Term       uint64 // also the lowest fencing token of the term
 	Teams      []config.Team
 	Objectives []config.Objective
 	Workers    config.WorkerTimes
@@ -22,6 +22,9 @@
 	CloudRPS   float64            // limit on requests to the cloud per second
 	CoreShare  float64            // CPU cores available to this controller, as a share of one; 0 if unknown
 	Options    config.Options
+
+	LastFencingToken uint64 // the highest fencing token that is reserved for the term; 0: Term
+	TermKeyVersion   uint64 // of the term key, which reserves them
 }
 
 // Scheduler is the scheduling state of one term. It passes each event to the parts that handle it, and
@@ -36,6 +39,7 @@
 	catalog          *typeCatalog
 	registry         *machineRegistry
 	rentals          *rentalTable
+	tokens           *fencingTokens
 	dispatcher       *commandDispatcher
 	placement        *placer
 	gangs            *gangTable
@@ -61,6 +65,7 @@
 	inventory := newMachineInventory(env, catalog)
 	registry := newMachineRegistry(env, inventory)
 	rentals := newRentalTable(env, inventory)
+	tokens := newFencingTokens(env)
 	dispatcher := newCommandDispatcher(env)
 	placement := newPlacer(env, queue, inventory)
 	gangs := newGangTable(env)
@@ -80,6 +85,7 @@
 		catalog:          catalog,
 		registry:         registry,
 		rentals:          rentals,
+		tokens:           tokens,
 		dispatcher:       dispatcher,
 		placement:        placement,
 		gangs:            gangs,
--- a/internal/coordination/scheduler/scheduler_fixture_test.go
+++ b/internal/coordination/scheduler/scheduler_fixture_test.go
@@ -31,7 +31,8 @@
 	t *testing.T, machines int, workerLease, cancelWithin time.Duration,
 ) *schedulerFixture {
 	cfg := Config{
-		Term: 3,
+		Term:             3,
+		LastFencingToken: 10,
 		Teams: []config.Team{
 			{Name: "red", GuaranteedCPUs: 8, MaxCPUs: 100},
 			{Name: "blue", GuaranteedCPUs: 8, MaxCPUs: 100},
--- a/internal/coordination/scheduler/simulation_controller_test.go
+++ b/internal/coordination/scheduler/simulation_controller_test.go
@@ -24,9 +24,28 @@
 // farFuture is later than the end of every scenario.
 const farFuture = 10 * time.Hour
 
+// firstFencingTokens is the number of fencing tokens that an election reserves. There are few, so that the leaders have
+// to reserve more.
+const firstFencingTokens = 3
+
+// reserveTerm sets the number of a new term, which is above all fencing tokens that are reserved.
+func (s *simulation) reserveTerm() {
+	var last storage.TermRecord
+	if record, ok := s.records[storage.KeyTerm]; ok {
+		s.must(protocol.Decode(record.value, &last))
+	}
+	s.term = last.Term + 1
+	s.revision++
+	reserved := storage.TermRecord{Term: s.term + firstFencingTokens - 1}
+	s.records[storage.KeyTerm] = storedRecord{s.revision, protocol.Encode(reserved)}
+}
+
 // schedulerConfig returns the configuration of the scheduler in the current term.
 func (s *simulation) schedulerConfig() Config {
 	return Config{
+		LastFencingToken: s.term + firstFencingTokens - 1,
+		TermKeyVersion:   s.records[storage.KeyTerm].version,
+
 		Term:    s.term,
 		Teams:   s.teams,
 		Workers: s.workerTimes,
@@ -49,7 +68,7 @@
 			controller.stopped = true
 		}
 	}
-	s.term++
+	s.reserveTerm()
 	controller := &simulatedController{
 		term:          s.term,
 		scheduler:     New(s.schedulerConfig(), 0),
@@ -138,11 +157,13 @@
 			reply(nil)
 			return
 		}
-		reply(&protocol.HeartbeatReply{FencingToken: controller.term, Commands: effect.Commands})
+		reply(&protocol.HeartbeatReply{FencingToken: effect.FencingToken, Commands: effect.Commands})
+	case AttemptRestarted:
+		s.t.Fatalf("at %v: attempt runs again after its end: %+v", s.now, effect)
 	case SendDirectCommands:
 		s.sendDirectCommands(controller, effect)
 	case ProbeMachine:
-		s.probeMachine(controller, effect.Machine)
+		s.probeMachine(controller, effect)
 	case WriteRecords:
 		s.afterFunc(s.randomDuration(5*time.Millisecond, 300*time.Millisecond), func() {
 			s.executeWrite(controller, effect)
--- a/internal/coordination/scheduler/simulation_network_test.go
+++ b/internal/coordination/scheduler/simulation_network_test.go
@@ -158,32 +158,30 @@
 	if !ok || s.now < machine.unreachableUntil {
 		return
 	}
-	s.afterFunc(delay, func() { s.deliverDirectCommands(machine, controller.term, request, finish) })
+	s.afterFunc(delay, func() { s.deliverDirectCommands(machine, request, finish) })
 }
 
 // deliverDirectCommands executes direct commands on a worker and passes the result to finish. If the machine
 // hangs, they are executed after the hang. The worker rejects commands of an earlier term or for another
 // incarnation.
 func (s *simulation) deliverDirectCommands(
-	machine *simulatedMachine, term uint64, request SendDirectCommands, finish func(DirectCommandsDone),
+	machine *simulatedMachine, request SendDirectCommands, finish func(DirectCommandsDone),
 ) {
 	if machine.removed {
 		return
 	}
 	if s.now < machine.hungUntil {
-		s.afterFunc(machine.hungUntil-s.now, func() { s.deliverDirectCommands(machine, term, request, finish) })
+		s.afterFunc(machine.hungUntil-s.now, func() { s.deliverDirectCommands(machine, request, finish) })
 		return
 	}
 	s.restartIfLeaseExpired(machine)
 	var result DirectCommandsDone
-	if term < machine.fencingToken || request.Incarnation != machine.incarnation {
+	if !machine.accepts(request) {
 		result.NotExecuted = true
 	} else {
-		machine.fencingToken = term
+		machine.fencingToken = request.FencingToken
 		s.executeCommands(machine, request.Commands)
-		if s.repeats != nil {
-			s.recordExecutedCall(machine, executedCall{term, request})
-		}
+		s.recordExecutedCall(machine, request)
 		result.Heartbeat = s.newHeartbeat(machine)
 	}
 	if delay, ok := s.messageDelay(machine); ok {
@@ -193,8 +191,8 @@
 
 // probeMachine requests a heartbeat from a worker on behalf of a controller. The controller receives
 // no outcome if the worker is unreachable, replies too late or has received a message of a later term.
-func (s *simulation) probeMachine(controller *simulatedController, name string) {
-	machine := s.machines[name]
+func (s *simulation) probeMachine(controller *simulatedController, probe ProbeMachine) {
+	machine := s.machines[probe.Machine]
 	if machine == nil || machine.removed || s.now < machine.bootedAt || s.now < machine.hungUntil {
 		return
 	}
@@ -202,10 +200,10 @@
 		return
 	}
 	delay, ok := s.messageDelay(machine)
-	if !ok || delay >= time.Second || controller.term < machine.fencingToken {
+	if !ok || delay >= time.Second || probe.FencingToken < machine.fencingToken {
 		return
 	}
-	machine.fencingToken = controller.term
+	machine.fencingToken = probe.FencingToken
 	heartbeat := s.newHeartbeat(machine)
-	s.afterFunc(delay, func() { s.step(controller, ProbeDone{Machine: name, Heartbeat: heartbeat}) })
+	s.afterFunc(delay, func() { s.step(controller, ProbeDone{Machine: probe.Machine, Heartbeat: heartbeat}) })
 }
--- a/internal/coordination/scheduler/simulation_repeated_test.go
+++ b/internal/coordination/scheduler/simulation_repeated_test.go
@@ -6,15 +6,9 @@
 	"quillshunt/internal/protocol"
 )
 
-// executedCall is a direct command that a worker has executed and answered.
-type executedCall struct {
-	fencingToken uint64
-	request      SendDirectCommands
-}
-
 // Copies of executed direct commands.
 const (
-	repeatedCallShare    = 0.2              // of the calls that arrive again
+	usualRepeatShare     = 0.2              // of the calls that arrive again
 	maxRepeatedCalls     = 3                // copies of one call
 	shortestRepeatDelay  = time.Millisecond // until a copy arrives
 	longestRepeatDelay   = 10 * time.Millisecond
@@ -24,9 +18,9 @@
 // recordExecutedCall stores a direct command that a worker has executed, and sometimes schedules copies of it,
 // which arrive after milliseconds up to minutes and in any order. The copies have random numbers of their own,
 // so that the seeds of scenarios without a copy that starts a task keep their course.
-func (s *simulation) recordExecutedCall(machine *simulatedMachine, call executedCall) {
+func (s *simulation) recordExecutedCall(machine *simulatedMachine, call SendDirectCommands) {
 	machine.executedCalls = append(machine.executedCalls, call)
-	if s.repeats.Float64() >= repeatedCallShare {
+	if s.repeats.Float64() >= s.repeatShare {
 		return
 	}
 	for range 1 + s.repeats.IntN(maxRepeatedCalls) {
@@ -38,7 +32,7 @@
 
 // deliverRepeatedCall delivers a copy of a direct command that the worker has executed before. Nobody waits for
 // the answer.
-func (s *simulation) deliverRepeatedCall(machine *simulatedMachine, call executedCall) {
+func (s *simulation) deliverRepeatedCall(machine *simulatedMachine, call SendDirectCommands) {
 	if machine.removed || machine.down {
 		return
 	}
@@ -48,25 +42,28 @@
 	}
 	s.restartIfLeaseExpired(machine)
 	if machine.accepts(call) {
-		machine.fencingToken = call.fencingToken
-		s.executeCommands(machine, call.request.Commands)
+		machine.fencingToken = call.FencingToken
+		s.executeCommands(machine, call.Commands)
 	}
 }
 
 // accepts reports whether the worker would execute a copy of a direct command.
-func (m *simulatedMachine) accepts(call executedCall) bool {
-	return call.fencingToken >= m.fencingToken && call.request.Incarnation == m.incarnation
+func (m *simulatedMachine) accepts(call SendDirectCommands) bool {
+	return call.FencingToken >= m.fencingToken && call.Incarnation == m.incarnation
 }
 
 // checkNoReplayableStart checks that no copy of an executed direct command would start an attempt that the worker
 // does not know any more. It is called after each change of the attempts that the worker knows. The attempts of a
-// gang that were forgotten and started once more are known again.
+// gang that were forgotten and started once more are known again. A machine that is down runs nothing.
 func (s *simulation) checkNoReplayableStart(machine *simulatedMachine) {
+	if machine.down {
+		return
+	}
 	for _, call := range machine.executedCalls {
 		if !machine.accepts(call) {
 			continue
 		}
-		for _, command := range call.request.Commands {
+		for _, command := range call.Commands {
 			if command.Verb != protocol.CommandStart {
 				continue
 			}
@@ -74,7 +71,7 @@
 				s.t.Fatalf("replayable start: at %v: machine %s has forgotten task %s attempt %x and would accept "+
 					"a copy of its direct start: fencing token %d, of the worker %d, incarnation %d",
 					s.now, machine.Name, command.Task, command.Attempt,
-					call.fencingToken, machine.fencingToken, machine.incarnation)
+					call.FencingToken, machine.fencingToken, machine.incarnation)
 			}
 		}
 	}
--- a/internal/coordination/scheduler/simulation_scenario_test.go
+++ b/internal/coordination/scheduler/simulation_scenario_test.go
@@ -3,7 +3,6 @@
 import (
 	"flag"
 	"fmt"
-	"math/rand/v2"
 	"os"
 	"strconv"
 	"strings"
@@ -29,12 +28,24 @@
 	os.Exit(m.Run())
 }
 
+// gangScenarioEvery is the number of seeds of which one has mostly gangs that save checkpoints.
+const gangScenarioEvery = 2
+
+// newRandomScenario returns the simulation for runRandomScenario with a seed.
+func newRandomScenario(t interface{ Fatalf(string, ...any) }, seed uint64) *simulation {
+	s := newSimulation(t, seed)
+	if seed%gangScenarioEvery == 0 {
+		s.gangShare, s.checkpointShare = 0.8, 0.8
+	}
+	return s
+}
+
 // TestRules simulates random scenarios with faults of all kinds and checks the protocol rules. Each
 // scenario ends with a phase without new faults, in which all jobs must finish.
 func TestRules(t *testing.T) {
 	events := &gangEventCounts{}
 	rapid.Check(t, func(t *rapid.T) {
-		s := newSimulation(t, rapid.Uint64().Draw(t, "seed"))
+		s := newRandomScenario(t, rapid.Uint64().Draw(t, "seed"))
 		s.gangEvents = events
 		runRandomScenario(s)
 	})
@@ -45,8 +56,8 @@
 // direct command that started it arrives after the worker has forgotten the attempt.
 func TestForgottenAttemptIsNotStartedByRepeatedCommand(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := newSimulation(t, rapid.Uint64().Draw(t, "seed"))
-		s.repeats = rand.New(rand.NewPCG(s.random.Uint64(), 17))
+		s := newRandomScenario(t, rapid.Uint64().Draw(t, "seed"))
+		s.repeatShare = 1
 		runRandomScenario(s)
 	})
 }
@@ -64,12 +75,14 @@
 	if err != nil {
 		t.Fatalf("QUILLSHUNT_SEED: %v", err)
 	}
-	s := newSimulation(t, seed)
-	s.trace = true
 	if os.Getenv("QUILLSHUNT_SCENARIO") == "cancellation" {
+		s := newSimulation(t, seed)
+		s.trace = true
 		runCancellationScenario(s)
 		return
 	}
+	s := newRandomScenario(t, seed)
+	s.trace = true
 	runRandomScenario(s)
 }
 
@@ -184,13 +197,13 @@
 	if s.withProbability(0.2) {
 		spec.MachineTypes = []string{"b8"}
 	}
-	if s.withProbability(0.3) {
+	if s.withProbability(s.checkpointShare) {
 		spec.CheckpointS, spec.SaveS = 2, 1
 	}
 	if s.withProbability(0.4) {
 		spec.DeadlineS = 20
 	}
-	if s.withProbability(0.3) {
+	if s.withProbability(s.gangShare) {
 		spec.Shape = protocol.ShapeGang
 		spec.Tasks = 1 + s.random.IntN(min(5, int(20/spec.CPUs))) // the gang fits in the lower team limit, 20 CPUs
 	}
--- a/internal/coordination/scheduler/simulation_test.go
+++ b/internal/coordination/scheduler/simulation_test.go
@@ -15,9 +15,12 @@
 type simulation struct {
 	t       interface{ Fatalf(string, ...any) }
 	random  *rand.Rand
-	repeats *rand.Rand // for copies of direct commands that were executed; nil: there are none
+	repeats *rand.Rand // for copies of direct commands that were executed
 	now     time.Duration
 
+	repeatShare        float64       // share of the direct commands of which copies arrive
+	gangShare          float64       // share of the jobs that are gangs
+	checkpointShare    float64       // share of the jobs whose tasks save checkpoints
 	faultFree          bool          // network faults have ended
 	longTasks          bool          // tasks run for longer than a cancellation may take
 	deletionsFailUntil time.Duration // until then, the cloud deletes no machines
@@ -52,6 +55,10 @@
 	return &simulation{
 		t:                 t,
 		random:            rand.New(rand.NewPCG(seed, 7)),
+		repeats:           rand.New(rand.NewPCG(seed, 17)),
+		repeatShare:       usualRepeatShare,
+		gangShare:         0.3,
+		checkpointShare:   0.3,
 		records:           map[string]storedRecord{},
 		machines:          map[string]*simulatedMachine{},
 		rentedMachines:    map[string][]string{},
--- a/internal/coordination/scheduler/simulation_worker_test.go
+++ b/internal/coordination/scheduler/simulation_worker_test.go
@@ -38,7 +38,7 @@
 	nextHeartbeatAt  time.Duration
 	spotReclaimAt    time.Duration // when the cloud reclaims the machine after a spot notice; 0: no notice
 	tasks            []*simulatedTask
-	executedCalls    []executedCall // direct commands that were executed and answered; empty unless repeats is set
+	executedCalls    []SendDirectCommands // direct commands that were executed and answered
 }
 
 // remove removes the machine, which ends all its tasks.
--- a/internal/coordination/scheduler/task_progress.go
+++ b/internal/coordination/scheduler/task_progress.go
@@ -90,7 +90,7 @@
 	runTime := a.runTime(s.now)
 	s.assignments.release(a)
 	s.gangs.handleTaskEnded(a, status)
-	ended := endedTask{startMayArrive: a.startUnconfirmed}
+	ended := endedTask{}
 	switch status.Reason {
 	case protocol.ReasonDone:
 		s.handleTaskCompleted(a, runTime, &ended)
--- a/internal/coordination/scheduler/withheld.go
+++ b/internal/coordination/scheduler/withheld.go
@@ -26,6 +26,12 @@
 	WithheldTooManyInFlight WithheldReason = "too_many_in_flight" // to all machines together
 )
 
+// The reasons for which a worker is not instructed to forget ended attempts yet, although their results are stored.
+const (
+	WithheldForgetCommandInFlight WithheldReason = "forget_command_in_flight" // the worker would reject that command
+	WithheldForgetNoToken         WithheldReason = "forget_no_token"          // no higher fencing token is reserved
+)
+
 // withhold counts commands that are not sent in this step.
 func (o *outbox) withhold(reason WithheldReason, count int) {
 	if count == 0 {
--- a/internal/coordination/scheduler/withheld_test.go
+++ b/internal/coordination/scheduler/withheld_test.go
@@ -16,7 +16,9 @@
 		{"", func(*schedulerFixture, *HeartbeatReceived) {}},
 		{WithheldNotEntitled, func(_ *schedulerFixture, e *HeartbeatReceived) { e.Entitled = false }},
 		{WithheldMalformed, func(_ *schedulerFixture, e *HeartbeatReceived) { e.Heartbeat.Machine = "" }},
-		{WithheldLaterTerm, func(_ *schedulerFixture, e *HeartbeatReceived) { e.Heartbeat.FencingToken = 4 }},
+		{WithheldLaterTerm, func(f *schedulerFixture, e *HeartbeatReceived) {
+			e.Heartbeat.FencingToken = f.scheduler.LastFencingToken() + 1
+		}},
 		{WithheldMachineDeleted, func(f *schedulerFixture, _ *HeartbeatReceived) {
 			f.step(DeletionDone{Machines: []string{f.machine(0)}, Confirmed: true})
 		}},
--- a/internal/limits/leadership.go
+++ b/internal/limits/leadership.go
@@ -25,6 +25,11 @@
 	// AttemptTermShift is the bit position of the term in the number of a task attempt. The bits below
 	// count the attempts of the term, so attempt numbers increase across leaders.
 	AttemptTermShift = 32
+	// FencingTokensPerReservation is the number of fencing tokens that a leader reserves at a time. A worker receives a
+	// new one at most with every heartbeat. Terms are this far apart at least, and must stay below 2^AttemptTermShift.
+	FencingTokensPerReservation = 1024
+	// FencingTokenWarningInterval is the shortest time between two warnings about tokens that workers report.
+	FencingTokenWarningInterval = 10 * time.Second
 )
 
 // Handover to another controller.
--- a/internal/limits/machines.go
+++ b/internal/limits/machines.go
@@ -72,6 +72,9 @@
 	// MaxCommands is the number of commands at which no further start commands are added to a heartbeat
 	// reply or to a request with direct commands. It keeps these messages far below MaxBodyBytes.
 	MaxCommands = 300
+	// MaxWithheldForgets is the number of ended attempts in a worker's list at which it is instructed to forget them
+	// although it then rejects a direct command in flight. An entry takes about 60 bytes of a heartbeat.
+	MaxWithheldForgets = 64
 )
 
 // Faulty and slow machines.
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -103,6 +103,9 @@
 	InvariantAcceptsConnections Invariant = "accepts_connections"
 )
 
+// InvariantAttemptEndsOnce is that an attempt of a task does not run again after it has ended.
+const InvariantAttemptEndsOnce Invariant = "attempt_ends_once"
+
 // Upper bounds of the histograms' buckets, in seconds.
 var (
 	latencyBuckets  = []float64{0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8}
--- a/internal/soak/checker_test.go
+++ b/internal/soak/checker_test.go
@@ -100,6 +100,9 @@
 	{"a task starts twice", "ran_twice", func(h *history) {
 		h.TaskChanges = append(h.TaskChanges, startAt(9*s, false))
 	}},
+	{"a copy of a direct command starts a forgotten attempt", "ran_twice", func(h *history) {
+		h.RepeatedStarts = append(h.RepeatedStarts, "job-1/0 on m-1")
+	}},
 	{"a cancelled task starts late", "ran_cancelled", func(h *history) {
 		h.Answers = append(h.Answers, cancelledAt(10*s))
 		h.TaskChanges = append(h.TaskChanges, startAt(60*s, true))
--- a/internal/soak/deployment_test.go
+++ b/internal/soak/deployment_test.go
@@ -169,6 +169,7 @@
 		}},
 		State: d.state, Controllers: workerAddresses, Log: log, WorkerTimes: workerTimes,
 		JobSpec: d.recorder.spec, OnTaskChange: d.recordTaskChange, OnCommands: d.recordExecution,
+		OnRepeatedStart: d.recorder.addRepeatedStart,
 	})
 	d.serve(d.cloud.Server(cloudAddress))
 }
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -223,3 +223,29 @@
 		d.sampleRunning()
 	}
 }
+
+// Copies of direct commands that workers have executed and answered.
+const (
+	repeatedCommandShare = 0.3 // of the direct commands with starts
+	maxCopies            = 3
+	shortestCopyDelay    = time.Millisecond
+	copyDelayDoublings   = 16 // the longest delay of a copy is about a minute
+)
+
+// newRepeatDelays returns a function that draws after which times copies of a direct command arrive again.
+func newRepeatDelays(seed uint64) func(machine string) []time.Duration {
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(seed, 23))
+	return func(string) (delays []time.Duration) {
+		mu.Lock()
+		defer mu.Unlock()
+		if random.Float64() >= repeatedCommandShare {
+			return nil
+		}
+		for range 1 + random.IntN(maxCopies) {
+			longest := shortestCopyDelay << (1 + random.IntN(copyDelayDoublings))
+			delays = append(delays, shortestCopyDelay+time.Duration(random.Int64N(int64(longest))))
+		}
+		return delays
+	}
+}
--- a/internal/soak/history_test.go
+++ b/internal/soak/history_test.go
@@ -64,17 +64,18 @@
 
 // history is all that can be observed from outside a run.
 type history struct {
-	Answers       []answer
-	TaskChanges   []taskChange
-	Running       []runningTask // samples
-	Executions    []execution
-	Submitted     map[string]bool // jobs that users tried to submit
-	EndedByItself []string        // processes that ended without being killed
-	ErrorLines    []string        // of the controllers' logs
-	HealedAt      time.Duration   // when all faults were over
-	EndedAt       time.Duration
-	Unfinished    []string // accepted jobs that were neither cancelled nor done at the end, beside free machines
-	LeftMachines  []string // machines that were neither returned nor needed at the end
+	Answers        []answer
+	TaskChanges    []taskChange
+	Running        []runningTask // samples
+	Executions     []execution
+	RepeatedStarts []string        // forgotten attempts that copies of commands have or could have started
+	Submitted      map[string]bool // jobs that users tried to submit
+	EndedByItself  []string        // processes that ended without being killed
+	ErrorLines     []string        // of the controllers' logs
+	HealedAt       time.Duration   // when all faults were over
+	EndedAt        time.Duration
+	Unfinished     []string // accepted jobs that were neither cancelled nor done at the end, beside free machines
+	LeftMachines   []string // machines that were neither returned nor needed at the end
 }
 
 // Bounds of the rules, from the users.
@@ -98,6 +99,9 @@
 				change.Task, change.Machine, change.At)
 		}
 	}
+	for _, start := range h.RepeatedStarts {
+		report("ran_twice: %s", start)
+	}
 	h.checkTokens(report)
 	for _, name := range h.EndedByItself {
 		report("ended: %s ended by itself", name)
--- a/internal/soak/recorder_test.go
+++ b/internal/soak/recorder_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -38,6 +39,7 @@
 	h.Running = slices.Clone(h.Running)
 	h.Executions = slices.Clone(h.Executions)
 	h.EndedByItself = slices.Clone(h.EndedByItself)
+	h.RepeatedStarts = slices.Clone(h.RepeatedStarts)
 	h.Submitted = maps.Clone(h.Submitted)
 	return &h
 }
@@ -58,6 +60,15 @@
 	return spec, ok
 }
 
+// addRepeatedStart records that a copy of a direct command has started a forgotten attempt, or could do so. The
+// stand-in workers call it.
+func (r *recorder) addRepeatedStart(machine, task string, attempt uint64, problem string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history.RepeatedStarts = append(r.history.RepeatedStarts,
+		fmt.Sprintf("%s: %s attempt %x on %s", problem, task, attempt, machine))
+}
+
 func (r *recorder) addAnswer(a answer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -220,6 +220,7 @@
 	}()
 	go d.sampleUntil(ctx)
 
+	d.cloud.SetRepeatedDirectCommands(newRepeatDelays(s.Seed))
 	d.playFaults(s)
 	healedAt := d.since()
 	stopSubmitting()
--- a/internal/storage/leadership.go
+++ b/internal/storage/leadership.go
@@ -18,7 +18,7 @@
 	ProcessNonce uint64 `cbor:"Nonce" json:"Nonce"` // random number of the process; a restart changes it
 }
 
-// TermRecord holds the highest term so far.
+// TermRecord holds the highest fencing token that is reserved for a term so far. The next term is higher.
 type TermRecord struct {
 	Term uint64 `cbor:"Term" json:"Term"`
 }
