Reserve 256 fencing tokens at a time, and begin no term without attempt numbers

Attempt numbers have 32 bits for the term, and terms are as far apart as a reservation is large. With 1,024 tokens a reservation, four million elections would make attempt numbers repeat. 256 leave 16 million; a worker takes a token with at most two heartbeats a second, so a reservation still lasts a minute or more. The soak says how many copies of direct commands have arrived.

--- a/internal/coordination/election/campaign.go
+++ b/internal/coordination/election/campaign.go
@@ -11,6 +11,9 @@
 	"quillshunt/internal/storage"
 )
 
+// errTermsUsedUp means that the term key holds a number after which no term can have attempt numbers of its own.
+var errTermsUsedUp = errors.New("no higher term is possible")
+
 // candidacy is one attempt to become the leader.
 type candidacy struct {
 	leader     storage.LeaderRecord // the value to write to the leader key
@@ -26,6 +29,9 @@
 	if err != nil {
 		return err
 	}
+	if last.Term >= limits.MaxTerm {
+		return fmt.Errorf("begin a term after fencing token %d: %w", last.Term, errTermsUsedUp)
+	}
 	sentAt := time.Now()
 	leaseID, err := e.options.Store.CreateLease(ctx, e.options.LeaseDuration)
 	if err != nil {
--- a/internal/coordination/election/election_test.go
+++ b/internal/coordination/election/election_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -332,7 +333,8 @@
 		time.Sleep(3 * time.Second)
 		second := n.entitledLeadership()
 		if second == nil || second.Term != extended+1 {
-			t.Fatalf("leadership %+v after the reservation of token %d, want the next number as its term", second, extended)
+			t.Fatalf("leadership %+v after the reservation of token %d, want the next number as its term",
+				second, extended)
 		}
 		if got := lastTerm(t, c.service); got != second.LastFencingToken || got <= second.Term {
 			t.Errorf("the term key reserves up to %d, want %d", got, second.LastFencingToken)
@@ -341,6 +343,29 @@
 	})
 }
 
+// TestNoTermBeyondAttemptNumbers guards against attempt numbers that repeat because the number of a term has no room in
+// them.
+func TestNoTermBeyondAttemptNumbers(t *testing.T) {
+	for _, c := range []struct {
+		last    uint64
+		elected bool
+	}{{limits.MaxTerm - 1, true}, {limits.MaxTerm, false}, {math.MaxUint64, false}} {
+		synctest.Test(t, func(t *testing.T) {
+			cluster := newCluster(0, 0)
+			n := cluster.addNode(rand.New(rand.NewPCG(1, 1)))
+			cluster.service.CompareAndSwap(protocol.Transaction{Operations: []protocol.Operation{
+				{Put: storage.KeyTerm, Value: protocol.Encode(storage.TermRecord{Term: c.last})},
+			}})
+			n.start()
+			time.Sleep(3 * time.Second)
+			if elected := n.entitledLeadership() != nil; elected != c.elected {
+				t.Errorf("a leader is elected after token %d: %v, want %v", c.last, elected, c.elected)
+			}
+			n.crash()
+		})
+	}
+}
+
 // TestIsolatedLeader checks a leader that cannot reach the other controllers. If it cannot reach the
 // state service either, it must stop being entitled, and another controller must lead long before
 // the leader lease expires. If it can, it must stay entitled by writing heartbeat records.
--- a/internal/limits/leadership.go
+++ b/internal/limits/leadership.go
@@ -26,8 +26,10 @@
 	// count the attempts of the term, so attempt numbers increase across leaders.
 	AttemptTermShift = 32
 	// FencingTokensPerReservation is the number of fencing tokens that a leader reserves at a time. A worker receives a
-	// new one at most with every heartbeat. Terms are this far apart at least, and must stay below 2^AttemptTermShift.
-	FencingTokensPerReservation = 1024
+	// new one at most with every heartbeat. Terms are at least this far apart.
+	FencingTokensPerReservation = 256
+	// MaxTerm is the highest number of a term that the number of a task attempt has room for.
+	MaxTerm = 1<<(64-AttemptTermShift) - 1
 	// FencingTokenWarningInterval is the shortest time between two warnings about tokens that workers report.
 	FencingTokenWarningInterval = 10 * time.Second
 )
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -132,7 +132,7 @@
 		}, []string{"share", "result"}),
 		stateRevision: newGauge("state_revision", "Revision up to which the leader has observed the open jobs."),
 		leading:       newGauge("leading", "1 while this controller runs a term, otherwise 0."),
-		fencingToken:  newGauge("fencing_token", "Fencing token of the last term of this controller."),
+		fencingToken:  newGauge("fencing_token", "Lowest fencing token of the last term of this controller."),
 		mailbox:       newGauge("leader_mailbox_messages", "Messages that wait for the leader's actor."),
 		mailboxAge: newGauge("leader_mailbox_age_seconds",
 			"Wait of the heartbeat that the leader's actor handled last."),
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -179,9 +179,10 @@
 	h := d.run(s, size)
 
 	found := h.violations(time.Duration(workerTimes.CancelWithinS * float64(time.Second)))
-	t.Logf("seed %d: %d jobs, %d answers, %d task starts, %d faults, %d machines; longest time without an answer "+
-		"after all faults %v; %d violations", s.Seed, len(h.Submitted), len(h.Answers), len(h.TaskChanges)/2,
-		len(s.Faults), h.machines(), h.longestUnanswered(), len(found))
+	t.Logf("seed %d: %d jobs, %d answers, %d task starts, %d faults, %d machines, %d copies of direct commands; "+
+		"longest time without an answer after all faults %v; %d violations",
+		s.Seed, len(h.Submitted), len(h.Answers), len(h.TaskChanges)/2, len(s.Faults), h.machines(),
+		d.cloud.CopiesOfDirectCommands(), h.longestUnanswered(), len(found))
 	if len(h.TaskChanges) == 0 || len(h.Answers) == 0 {
 		t.Error("nothing ran: the run has tested nothing")
 	}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -60,6 +60,7 @@
 	doneTasks      map[string]bool // tasks that completed on any machine
 	duplicateDelay func(machine string) (time.Duration, bool)
 	repeatDelays   func(machine string) []time.Duration
+	copies         int // copies of executed direct commands that have arrived
 
 	gangs *gangRegistry
 }
--- a/internal/standin/worker_repeated.go
+++ b/internal/standin/worker_repeated.go
@@ -48,6 +48,7 @@
 		time.AfterFunc(hung, func() { w.executeCopy(request) })
 		return 0
 	}
+	w.cloud.countCopy()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.restartIfLeaseExpired()
@@ -102,6 +103,20 @@
 	return delays(machine)
 }
 
+// countCopy counts a copy of direct commands that has arrived.
+func (c *Cloud) countCopy() {
+	c.resultsMu.Lock()
+	defer c.resultsMu.Unlock()
+	c.copies++
+}
+
+// CopiesOfDirectCommands returns how many copies of executed direct commands have arrived at workers.
+func (c *Cloud) CopiesOfDirectCommands() int {
+	c.resultsMu.Lock()
+	defer c.resultsMu.Unlock()
+	return c.copies
+}
+
 // RepeatDirectCommands delivers copies of all direct commands with starts that a machine has executed in its present
 // incarnation, oldest first. It returns how many copies there were, and how many tasks they have started.
 func (c *Cloud) RepeatDirectCommands(machine string) (copies, started int) {
