--- a/internal/coordination/scheduler/doc.go
+++ b/internal/coordination/scheduler/doc.go
@@ -7,8 +7,8 @@
 //
 // A task must never run twice at the same time. A task is either unassigned or assigned to one
 // incarnation of one machine's worker. An assignment ends only on evidence that the task neither runs
-// there nor can start there any more: the worker no longer lists the task, the start command can no
-// longer arrive, the worker's lease has expired, or the machine was deleted. See
+// there nor can start there any more: the worker no longer lists the task and its start command can no
+// longer arrive or is rejected, the worker's lease has expired, or the machine was deleted. See
 // assignmentTable.release and its callers. A new term places nothing until its recovery has ended,
 // because tasks that earlier leaders started may still be running.
 //
@@ -23,6 +23,7 @@
 //   - typeCatalog, machineListReader: the cloud's machine types and its list of machines
 //   - machineInventory: the known machines
 //   - machineRegistry, rentalTable: durable records of machines and rentals
+//   - fencingTokens: the tokens by which workers reject direct commands that were sent before
 //   - commandDispatcher: direct commands, which are sent without waiting for a heartbeat
 //   - finishedTaskWriter: durable records of finished tasks
 //   - recoveryState: whether a new term already knows all tasks that may be running
--- a/internal/protocol/doc.go
+++ b/internal/protocol/doc.go
@@ -34,7 +34,7 @@
 //	report                    Heartbeat                           heartbeat with the state of a worker
 //	Shift                     Incarnation                         increases when a worker's lease expires
 //	Tally                     Sequence                            orders the heartbeats of an incarnation
-//	Baton                     FencingToken                        the leader's term
+//	Baton                     FencingToken                        one of the tokens of the leader's term
 //	Foreman                   Leader                              controller to which a worker is redirected
 //	Orders                    Commands
 //	Path, Data, Pairs         Key, Value, KeyValue                of the state service
