--- a/internal/coordination/scheduler/simulation_repeated_test.go
+++ b/internal/coordination/scheduler/simulation_repeated_test.go
@@ -6,7 +6,7 @@
 	"quillshunt/internal/protocol"
 )
 
-// Copies of executed direct commands.
+// Copies of direct commands and transactions that were executed and answered.
 const (
 	usualRepeatShare     = 0.2              // of the calls that arrive again
 	maxRepeatedCalls     = 3                // copies of one call
@@ -24,12 +24,29 @@
 		return
 	}
 	for range 1 + s.repeats.IntN(maxRepeatedCalls) {
-		longest := longestRepeatDelay << s.repeats.IntN(repeatDelayDoublings)
-		delay := shortestRepeatDelay + time.Duration(s.repeats.Int64N(int64(longest)))
-		s.afterFunc(delay, func() { s.deliverRepeatedCall(machine, call) })
+		s.afterFunc(s.repeatDelay(), func() { s.deliverRepeatedCall(machine, call) })
 	}
 }
 
+// repeatDelay returns a random delay of a copy.
+func (s *simulation) repeatDelay() time.Duration {
+	longest := longestRepeatDelay << s.repeats.IntN(repeatDelayDoublings)
+	return shortestRepeatDelay + time.Duration(s.repeats.Int64N(int64(longest)))
+}
+
+// repeatWrite sometimes schedules a copy of a transaction that was executed and answered. The copy is executed if its
+// conditions still hold; the first one is that the leader key is that of the term.
+func (s *simulation) repeatWrite(term uint64, write WriteRecords) {
+	if s.repeats.Float64() >= s.repeatShare {
+		return
+	}
+	s.afterFunc(s.repeatDelay(), func() {
+		if term == s.term && s.conditionsHold(write) {
+			s.applyWrite(write)
+		}
+	})
+}
+
 // deliverRepeatedCall delivers a copy of a direct command that the worker has executed before. Nobody waits for
 // the answer.
 func (s *simulation) deliverRepeatedCall(machine *simulatedMachine, call SendDirectCommands) {
--- a/internal/coordination/scheduler/simulation_store_test.go
+++ b/internal/coordination/scheduler/simulation_store_test.go
@@ -54,12 +54,30 @@
 		controller.stopped = true // the condition on the leader key fails, which ends the term
 		return
 	}
+	if !s.conditionsHold(write) {
+		s.step(controller, WriteCompleted{ID: write.ID})
+		return
+	}
+	s.applyWrite(write)
+	version := s.revision
+	s.afterFunc(5*time.Millisecond, func() {
+		s.step(controller, WriteCompleted{ID: write.ID, Committed: true, Version: version})
+	})
+	s.repeatWrite(controller.term, write)
+}
+
+// conditionsHold reports whether the conditions of a transaction hold, apart from the one on the leader key.
+func (s *simulation) conditionsHold(write WriteRecords) bool {
 	for _, condition := range write.Conditions {
 		if s.records[condition.Key].version != condition.Version {
-			s.step(controller, WriteCompleted{ID: write.ID})
-			return
+			return false
 		}
 	}
+	return true
+}
+
+// applyWrite applies the operations of a transaction.
+func (s *simulation) applyWrite(write WriteRecords) {
 	s.revision++
 	for _, operation := range write.Operations {
 		if operation.Delete != "" {
@@ -71,8 +89,4 @@
 			s.checkFinalRecord(id, operation.Value)
 		}
 	}
-	version := s.revision
-	s.afterFunc(5*time.Millisecond, func() {
-		s.step(controller, WriteCompleted{ID: write.ID, Committed: true, Version: version})
-	})
 }
