Tidy the fence with the forget after reading it again

The last token of a leadership is derived from its term instead of stored. The stand-in worker executes a command and its copy by the same function, and counts no started tasks that nobody read. The comment on reportedToken was wrong. Regression tests have one line of comment.

--- a/internal/coordination/controller/repeated_commands_test.go
+++ b/internal/coordination/controller/repeated_commands_test.go
@@ -42,9 +42,7 @@
 	}},
 }
 
-// TestLateCopyOfAnsweredStartRunsNoTask guards against a task that a late copy of its start runs again, although the
-// start was executed and answered: the task has moved to another machine or its job is cancelled, and a controller or
-// a machine was back within a second.
+// TestLateCopyOfAnsweredStartRunsNoTask guards against a task on two machines, or one that runs after its cancellation.
 func TestLateCopyOfAnsweredStartRunsNoTask(t *testing.T) {
 	for _, start := range repeatedStartCases {
 		for _, back := range quickReturns {
@@ -68,10 +66,7 @@
 	}
 	start.leave(c, j, task, machine)
 	copies := 0
-	repeat := func() {
-		n, _ := c.cloud.RepeatDirectCommands(machine)
-		copies = max(copies, n)
-	}
+	repeat := func() { copies = max(copies, c.cloud.RepeatDirectCommands(machine)) }
 	repeat()
 	quickReturn(c, machine)
 	for range 30 {
--- a/internal/coordination/election/election_test.go
+++ b/internal/coordination/election/election_test.go
@@ -298,16 +298,14 @@
 		n.crash()
 		n.start()
 		time.Sleep(3 * time.Second)
-		if l := n.entitledLeadership(); l == nil || l.Term != first.LastFencingToken+1 {
+		if l := n.entitledLeadership(); l == nil || l.Term != first.LastFencingToken()+1 {
 			t.Fatalf("leadership after a restart is %+v, want the next term", l)
 		}
 		n.crash()
 	})
 }
 
-// TestTermBeginsAboveReservedTokens guards against a leader whose commands workers drop, or whose predecessor's they
-// execute: its term must be above all fencing tokens that were reserved, and the term key must reserve its own, which
-// is also what earlier versions begin after.
+// TestTermBeginsAboveReservedTokens guards against a leader whose tokens its predecessor has used.
 func TestTermBeginsAboveReservedTokens(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(0, 0)
@@ -318,7 +316,7 @@
 		if first == nil {
 			t.Fatal("no leader was elected")
 		}
-		extended := first.LastFencingToken + limits.FencingTokensPerReservation
+		extended := first.LastFencingToken() + limits.FencingTokensPerReservation
 		status, _ := c.service.CompareAndSwap(protocol.Transaction{
 			Conditions: []protocol.Condition{{Key: storage.KeyTerm, Version: first.KeyVersion}},
 			Operations: []protocol.Operation{
@@ -336,15 +334,14 @@
 			t.Fatalf("leadership %+v after the reservation of token %d, want the next number as its term",
 				second, extended)
 		}
-		if got := lastTerm(t, c.service); got != second.LastFencingToken || got <= second.Term {
-			t.Errorf("the term key reserves up to %d, want %d", got, second.LastFencingToken)
+		if got := lastTerm(t, c.service); got != second.LastFencingToken() || got <= second.Term {
+			t.Errorf("the term key reserves up to %d, want %d", got, second.LastFencingToken())
 		}
 		n.crash()
 	})
 }
 
-// TestNoTermBeyondAttemptNumbers guards against attempt numbers that repeat because the number of a term has no room in
-// them.
+// TestNoTermBeyondAttemptNumbers guards against attempt numbers that repeat.
 func TestNoTermBeyondAttemptNumbers(t *testing.T) {
 	for _, c := range []struct {
 		last    uint64
--- a/internal/coordination/election/lead.go
+++ b/internal/coordination/election/lead.go
@@ -13,7 +13,7 @@
 // lead runs a term until it is over, and meanwhile renews the leader lease and the quorum lease. It
 // returns after every goroutine of the term has ended.
 func (e *Elector) lead(ctx context.Context, l *Leadership, leaseID uint64) {
-	e.options.Log.Info("term started", "term", l.Term, "last_token", l.LastFencingToken, "key_version", l.KeyVersion)
+	e.options.Log.Info("term started", "term", l.Term, "last_token", l.LastFencingToken(), "key_version", l.KeyVersion)
 	e.setLeader(e.options.Node)
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
--- a/internal/coordination/election/leadership.go
+++ b/internal/coordination/election/leadership.go
@@ -17,9 +17,6 @@
 	Term       uint64 // also the lowest fencing token of the term; unique among terms
 	KeyVersion uint64 // of the leader key; a condition of every write of the term
 
-	// LastFencingToken is the highest fencing token that was reserved for the term when it began.
-	LastFencingToken uint64
-
 	startedAt        time.Time
 	leaseUntil       atomic.Int64  // until when the leader lease is valid, in nanoseconds after startedAt
 	quorumUntil      atomic.Int64  // until when the quorum lease is valid, in nanoseconds after startedAt
@@ -30,14 +27,15 @@
 // NewLeadership returns a leadership that depends on the leader lease alone; see requireQuorum. The
 // lease is valid until the given time unless it is extended.
 func NewLeadership(term, keyVersion uint64, until time.Time) *Leadership {
-	l := &Leadership{
-		Term: term, KeyVersion: keyVersion, LastFencingToken: lastFencingToken(term), startedAt: time.Now(),
-	}
+	l := &Leadership{Term: term, KeyVersion: keyVersion, startedAt: time.Now()}
 	l.quorumUntil.Store(math.MaxInt64)
 	l.extendLease(until)
 	return l
 }
 
+// LastFencingToken returns the highest fencing token that was reserved for the term when it began.
+func (l *Leadership) LastFencingToken() uint64 { return lastFencingToken(l.Term) }
+
 // lastFencingToken returns the highest fencing token that the election reserves for a term.
 func lastFencingToken(term uint64) uint64 { return term + limits.FencingTokensPerReservation - 1 }
 
--- a/internal/coordination/leader/direct_commands_test.go
+++ b/internal/coordination/leader/direct_commands_test.go
@@ -99,10 +99,9 @@
 	}
 }
 
-// TestLaterLeaderEndsTerm checks that the elector is notified of the end of the term if a worker has received the
-// fencing token of a later leader, which can only be once this leader is not entitled any more.
+// TestLaterLeaderEndsTerm guards against a replaced leader that ignores the fencing token of its successor.
 func TestLaterLeaderEndsTerm(t *testing.T) {
-	last := election.NewLeadership(1, 1, time.Now()).LastFencingToken
+	last := election.NewLeadership(1, 1, time.Now()).LastFencingToken()
 	for _, c := range []struct {
 		token    uint64
 		termLost bool
--- a/internal/coordination/leader/probes_test.go
+++ b/internal/coordination/leader/probes_test.go
@@ -21,7 +21,7 @@
 		startedAt:  time.Now(),
 		log:        slog.New(slog.DiscardHandler),
 	}
-	actor.lastFencingToken.Store(leadership.LastFencingToken)
+	actor.lastFencingToken.Store(leadership.LastFencingToken())
 	return actor
 }
 
--- a/internal/coordination/leader/term_actor.go
+++ b/internal/coordination/leader/term_actor.go
@@ -85,7 +85,7 @@
 			CoreShare:  facts.MachineLimits.CoreShare,
 			Options:    options,
 
-			LastFencingToken: leadership.LastFencingToken,
+			LastFencingToken: leadership.LastFencingToken(),
 			TermKeyVersion:   leadership.KeyVersion, // the election writes both keys
 		}, 0),
 	}
--- a/internal/coordination/scheduler/dispatcher.go
+++ b/internal/coordination/scheduler/dispatcher.go
@@ -76,13 +76,12 @@
 		m.directStartToken = d.fencingTokenOf(m)
 	}
 	d.emit(SendDirectCommands{
-		ID:          m.pendingDirectID,
-		Machine:     m.name,
-		Address:     m.address,
-		Incarnation: m.incarnation,
-		Commands:    commands,
-
+		ID:           m.pendingDirectID,
+		Machine:      m.name,
+		Address:      m.address,
+		Incarnation:  m.incarnation,
 		FencingToken: d.fencingTokenOf(m),
+		Commands:     commands,
 	})
 }
 
--- a/internal/coordination/scheduler/effects.go
+++ b/internal/coordination/scheduler/effects.go
@@ -45,13 +45,12 @@
 // SendDirectCommands sends commands to a worker without waiting for its next heartbeat. The outcome is
 // a DirectCommandsDone with the same ID.
 type SendDirectCommands struct {
-	ID          uint64
-	Machine     string
-	Address     string
-	Incarnation uint64 // the worker's; a worker of another incarnation rejects the commands
-	Commands    []protocol.Command
-
-	FencingToken uint64
+	ID           uint64
+	Machine      string
+	Address      string
+	Incarnation  uint64 // the worker's; a worker of another incarnation rejects the commands
+	FencingToken uint64 // a worker that has received a higher one rejects the commands
+	Commands     []protocol.Command
 }
 
 // RentMachines requests machines from the cloud and retries until the cloud replies. The outcome is a
--- a/internal/coordination/scheduler/fencing.go
+++ b/internal/coordination/scheduler/fencing.go
@@ -13,7 +13,7 @@
 type workerFencing struct {
 	fencingToken     uint64 // of all messages to the worker; 0: the lowest one of the term
 	directStartToken uint64 // the highest one of the direct commands with a start to the worker; 0: there was none
-	reportedToken    uint64 // the highest one that the worker has reported
+	reportedToken    uint64 // the one in the worker's newest heartbeat
 }
 
 // fencingTokens manages the fencing tokens of the term. They run from the number of the term up to the last one that
@@ -40,10 +40,12 @@
 // fencingTokenOf returns the fencing token of the next message to a machine's worker.
 func (e *environment) fencingTokenOf(m *machine) uint64 { return max(e.cfg.Term, m.fencingToken) }
 
-// isOfTerm reports whether a worker that reports a fencing token has received it from this leader.
-func (f *fencingTokens) isOfTerm(token uint64) bool { return token >= f.cfg.Term && token <= f.last }
+// isOfTerm reports whether a fencing token is reserved for the term.
+func (f *fencingTokens) isOfTerm(token uint64) bool {
+	return token >= f.cfg.Term && !f.isOfLaterTerm(token)
+}
 
-// isOfLaterTerm reports whether a fencing token is higher than all tokens of the term.
+// isOfLaterTerm reports whether a fencing token is higher than all tokens that are reserved for the term.
 func (f *fencingTokens) isOfLaterTerm(token uint64) bool { return token > f.last }
 
 // lastReserved returns the highest token that is reserved for the term.
@@ -96,8 +98,8 @@
 }
 
 // fenceDirectStarts makes the fencing token of the next heartbeat reply higher than that of all direct commands with
-// starts to the worker. It returns false if that is not possible now, or if the worker would reject a direct command
-// that is in flight and the commands to forget can wait.
+// starts to the worker. It returns false if no higher token is reserved. It also returns false while a direct command
+// is in flight, which the worker would reject, unless the worker lists MaxWithheldForgets ended attempts.
 //
 // The token may be raised in a reply to the newest heartbeat only: the worker would drop a reply in flight that has a
 // lower token.
--- a/internal/coordination/scheduler/fencing_test.go
+++ b/internal/coordination/scheduler/fencing_test.go
@@ -48,8 +48,7 @@
 	return status
 }
 
-// TestForgetFencesDirectStart guards against a copy of a direct start that runs the attempt again after the worker has
-// forgotten it, whatever the reason of its end: each message with a command to forget has a higher fencing token.
+// TestForgetFencesDirectStart guards against an ended attempt that a copy of its direct start runs again.
 func TestForgetFencesDirectStart(t *testing.T) {
 	for _, reason := range []protocol.EndReason{
 		protocol.ReasonError, protocol.ReasonStopped, protocol.ReasonNoRoom, protocol.ReasonAttemptExists,
@@ -82,8 +81,7 @@
 	}
 }
 
-// TestForgetWaitsForDirectCommand guards against direct commands that a worker rejects because the reply to a
-// heartbeat has overtaken them with a higher token, and against a list of ended attempts without a bound.
+// TestForgetWaitsForDirectCommand guards against rejected direct commands and an unbounded list of ended attempts.
 func TestForgetWaitsForDirectCommand(t *testing.T) {
 	f := newSchedulerFixture(t, 1)
 	f.sendHeartbeat(0)
@@ -113,8 +111,7 @@
 	}
 }
 
-// TestUnansweredStartIsReleasedOnceRejected guards against a task that stays assigned for the rest of the term: its
-// direct start got no answer, and the worker rejects it since it has a higher fencing token.
+// TestUnansweredStartIsReleasedOnceRejected guards against a task that stays assigned for the rest of the term.
 func TestUnansweredStartIsReleasedOnceRejected(t *testing.T) {
 	f := newSchedulerFixture(t, 1)
 	f.sendHeartbeat(0)
@@ -139,8 +136,7 @@
 	}
 }
 
-// TestEndedGangAttemptIsNotStartedDirectly guards against a gang task that a copy of a direct command starts again: its
-// attempt, which the gang keeps, was being forgotten when it was started directly under the same token.
+// TestEndedGangAttemptIsNotStartedDirectly guards against a gang task that a copy of its direct start runs again.
 func TestEndedGangAttemptIsNotStartedDirectly(t *testing.T) {
 	f := newSchedulerFixture(t, 1)
 	f.sendHeartbeat(0)
@@ -163,8 +159,7 @@
 	}
 }
 
-// TestTokensAreReservedAheadOfUse guards against a successor whose term is not above all tokens that workers have: no
-// token is sent before the term key reserves it, and a late write of the key fails.
+// TestTokensAreReservedAheadOfUse guards against a successor whose term is not above all tokens that workers have.
 func TestTokensAreReservedAheadOfUse(t *testing.T) {
 	f := newSchedulerFixture(t, 1)
 	f.sendHeartbeat(0)
@@ -207,8 +202,7 @@
 	}
 }
 
-// TestInvalidTokensOfWorkers guards against workers that report impossible tokens: they stop nothing, get no forget
-// without a fence, and the warnings are bounded.
+// TestInvalidTokensOfWorkers guards against workers whose impossible tokens stop the leader or flood its log.
 func TestInvalidTokensOfWorkers(t *testing.T) {
 	f := newSchedulerFixture(t, 2)
 	warnings := 0
--- a/internal/coordination/scheduler/reconcile.go
+++ b/internal/coordination/scheduler/reconcile.go
@@ -54,9 +54,6 @@
 ) (ended endedTask, isAssigned bool) {
 	a := m.assignments[status.Task]
 	isAssigned = a != nil && a.attempt == status.Attempt
-	if isAssigned {
-		a.confirmStart()
-	}
 	ended, alreadyEnded := m.endedTasks[attemptKeyOf(status)]
 	switch {
 	case alreadyEnded && isAssigned:
--- a/internal/coordination/scheduler/simulation_repeated_test.go
+++ b/internal/coordination/scheduler/simulation_repeated_test.go
@@ -1,10 +1,6 @@
 package scheduler
 
-import (
-	"time"
-
-	"quillshunt/internal/protocol"
-)
+import "time"
 
 // Copies of direct commands and transactions that were executed and answered.
 const (
@@ -34,8 +30,8 @@
 	return shortestRepeatDelay + time.Duration(s.repeats.Int64N(int64(longest)))
 }
 
-// repeatWrite sometimes schedules a copy of a transaction that was executed and answered. The copy is executed if its
-// conditions still hold; the first one is that the leader key is that of the term.
+// repeatWrite sometimes schedules a copy of a transaction that was executed and answered. The copy is executed unless
+// a later term has begun or one of its conditions fails.
 func (s *simulation) repeatWrite(term uint64, write WriteRecords) {
 	if s.repeats.Float64() >= s.repeatShare {
 		return
@@ -81,7 +77,7 @@
 			continue
 		}
 		for _, command := range call.Commands {
-			if command.Verb != protocol.CommandStart {
+			if !isStart(command) {
 				continue
 			}
 			if known, _ := machine.findTask(command); known == nil {
--- a/internal/coordination/scheduler/simulation_scenario_test.go
+++ b/internal/coordination/scheduler/simulation_scenario_test.go
@@ -52,8 +52,7 @@
 	events.checkCoverage(t)
 }
 
-// TestForgottenAttemptIsNotStartedByRepeatedCommand guards against a task that runs once more because a copy of the
-// direct command that started it arrives after the worker has forgotten the attempt.
+// TestForgottenAttemptIsNotStartedByRepeatedCommand lets copies of all direct commands arrive in random scenarios.
 func TestForgottenAttemptIsNotStartedByRepeatedCommand(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newRandomScenario(t, rapid.Uint64().Draw(t, "seed"))
--- a/internal/coordination/scheduler/task_progress.go
+++ b/internal/coordination/scheduler/task_progress.go
@@ -8,14 +8,8 @@
 	"quillshunt/internal/protocol"
 )
 
-// confirmStart records that the worker has received the start of the attempt. Another message with the
-// start can be in flight only if the start was repeated.
-func (a *assignment) confirmStart() {
-	a.directID = 0
-	if !a.startRepeated {
-		a.startUnconfirmed = false
-	}
-}
+// confirmStart records that the worker has received the start of the attempt.
+func (a *assignment) confirmStart() { a.directID, a.startUnconfirmed = 0, false }
 
 // runTime returns the seconds since the task was first reported as running; 0 if it is not running.
 func (a *assignment) runTime(now time.Duration) float64 {
@@ -90,7 +84,7 @@
 	runTime := a.runTime(s.now)
 	s.assignments.release(a)
 	s.gangs.handleTaskEnded(a, status)
-	ended := endedTask{}
+	var ended endedTask
 	switch status.Reason {
 	case protocol.ReasonDone:
 		s.handleTaskCompleted(a, runTime, &ended)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -310,11 +310,16 @@
 	if !w.accepts(request) {
 		return http.StatusConflict, protocol.Encode(w.heartbeat())
 	}
+	w.executeAccepted(request)
+	w.recordExecutedCall(request)
+	return http.StatusOK, protocol.Encode(w.heartbeat())
+}
+
+// executeAccepted executes direct commands that the worker accepts. The caller holds mu.
+func (w *worker) executeAccepted(request protocol.DirectCommands) {
 	w.fencingToken = request.FencingToken
 	w.notifyCommands()
 	w.executeCommands(request.Commands)
-	w.recordExecutedCall(request)
-	return http.StatusOK, protocol.Encode(w.heartbeat())
 }
 
 // usedAddresses holds the addresses that freeAddress has returned. Servers share their port with other listeners
--- a/internal/standin/worker_repeated.go
+++ b/internal/standin/worker_repeated.go
@@ -41,34 +41,29 @@
 }
 
 // executeCopy handles a copy of direct commands that the worker has executed before, like the original, except that
-// nobody waits for the response. A machine that hangs executes it afterwards. It returns the number of tasks that the
-// copy has started.
-func (w *worker) executeCopy(request protocol.DirectCommands) (started int) {
+// nobody waits for the response. A machine that hangs executes it afterwards.
+func (w *worker) executeCopy(request protocol.DirectCommands) {
 	if hung := w.remainingHang(); hung > 0 {
 		time.AfterFunc(hung, func() { w.executeCopy(request) })
-		return 0
+		return
 	}
 	w.cloud.countCopy()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.restartIfLeaseExpired()
 	if w.incarnation == 0 || !w.accepts(request) {
-		return 0
+		return
 	}
 	for _, command := range request.Commands {
 		if isStart(command) && w.tasks[taskKey(command.Task, command.Attempt)] == nil {
-			started++
 			w.cloud.reportRepeatedStart(w.machine.Name, command, startedByCopy)
 		}
 	}
-	w.fencingToken = request.FencingToken
-	w.notifyCommands()
-	w.executeCommands(request.Commands)
-	return started
+	w.executeAccepted(request)
 }
 
-// checkForgotten reports each start in the executed direct commands of which a copy would start an attempt that the
-// worker no longer knows. The caller holds mu and calls it after the worker has forgotten an attempt.
+// checkForgotten reports an attempt that the worker has just forgotten if a copy of an executed direct command would
+// start it again. The caller holds mu.
 func (w *worker) checkForgotten(attempt protocol.Command) {
 	for _, request := range w.executedCalls {
 		if !w.accepts(request) {
@@ -118,19 +113,19 @@
 }
 
 // RepeatDirectCommands delivers copies of all direct commands with starts that a machine has executed in its present
-// incarnation, oldest first. It returns how many copies there were, and how many tasks they have started.
-func (c *Cloud) RepeatDirectCommands(machine string) (copies, started int) {
+// incarnation, oldest first. It returns how many copies there were.
+func (c *Cloud) RepeatDirectCommands(machine string) (copies int) {
 	w := c.worker(machine)
 	if w == nil {
-		return 0, 0
+		return 0
 	}
 	w.mu.Lock()
 	requests := slices.Clone(w.executedCalls)
 	w.mu.Unlock()
 	for _, request := range requests {
-		started += w.executeCopy(request)
+		w.executeCopy(request)
 	}
-	return len(requests), started
+	return len(requests)
 }
 
 // ExecutedDirectCommands returns how many direct commands with starts a machine has executed in its present
