--- a/review/_rig2/bookmark.go
+++ b/review/_rig2/bookmark.go
@@ -19,7 +19,7 @@
 // runBookmark: a running job has a short checkpoint interval. Jobs of a class of higher priority come several times as
 // often, so that preemption is considered. A user cancels a third job and asks about it.
 func runBookmark(recordFile string, trouble bool) int {
-	g := newRig(recordFile, trouble, firstLimits, machineTypes(1))
+	g := newRig(recordFile, firstLimits, machineTypes(1))
 	defer g.close()
 	g.startControllers(3, siteFacts(3))
 	g.waitHealthy()
--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -15,6 +15,7 @@
 )
 
 var cases = map[string]func(recordFile string, trouble bool) int{
+	"again":    runAgain,
 	"types":    runTypes,
 	"bookmark": runBookmark,
 }
--- a/review/_rig2/rig.go
+++ b/review/_rig2/rig.go
@@ -24,7 +24,6 @@
 type rig struct {
 	ctx         context.Context
 	stop        context.CancelFunc
-	trouble     bool
 	dir         string
 	record      *record
 	state       *stateService
@@ -68,14 +67,14 @@
 }
 
 // newRig starts the state service and the cloud. The controllers are started by startControllers.
-func newRig(recordFile string, trouble bool, limits stateLimits, types []protocol.MachineType) *rig {
+func newRig(recordFile string, limits stateLimits, types []protocol.MachineType) *rig {
 	file, err := os.Create(recordFile)
 	must(err)
 	dir, err := os.MkdirTemp("", "review")
 	must(err)
 	ctx, stop := context.WithCancel(context.Background())
 	g := &rig{
-		ctx: ctx, stop: stop, trouble: trouble, dir: dir, types: types,
+		ctx: ctx, stop: stop, dir: dir, types: types,
 		record: &record{file: file, start: time.Now()}, state: newStateService(limits), specs: map[string]protocol.Spec{},
 	}
 	ln, err := listen()
--- a/review/_rig2/state.go
+++ b/review/_rig2/state.go
@@ -98,6 +98,13 @@
 	}
 }
 
+// setLimits sets the limits for later requests. What is stored stays readable.
+func (s *stateService) setLimits(l stateLimits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = l
+}
+
 func (s *stateService) serve(ln net.Listener) {
 	_ = (&http.Server{Handler: s}).Serve(ln)
 }
