Review: a job that is late never runs while the cloud has no spot machines

Cause: shouldWaitForCheaperPool compares with the cheapest pool whether it has machines or not, and a job without a deadline, or past it, waits for that pool without a bound.

--- a/review/_rig2/main.go
+++ b/review/_rig2/main.go
@@ -15,6 +15,7 @@
 )
 
 var cases = map[string]func(recordFile string, trouble bool) int{
+	"capacity": runCapacity,
 	"again":    runAgain,
 	"types":    runTypes,
 	"bookmark": runBookmark,
--- a/review/_rig2/rig.go
+++ b/review/_rig2/rig.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -17,7 +18,6 @@
 	"quillshunt/internal/config"
 	"quillshunt/internal/protocol"
 	"quillshunt/internal/standin"
-	"quillshunt/internal/transport"
 )
 
 // rig is a small deployment: controllers as processes, everything else in this process.
@@ -31,10 +31,13 @@
 	cloud       *standin.Cloud
 	types       []protocol.MachineType
 	controllers []*controller
-	onTask      func(machine, task string, runs bool) // or nil
 
-	mu    sync.Mutex
-	specs map[string]protocol.Spec
+	gateCloud bool          // whether the cloud may refuse rentals
+	gate      *capacityGate // nil unless gateCloud is set
+
+	mu          sync.Mutex
+	specs       map[string]protocol.Spec
+	taskStarted bool
 }
 
 // controller is one controller process.
@@ -130,8 +133,6 @@
 		must(err)
 		g.controllers = append(g.controllers, &controller{name: fmt.Sprintf("rig-%d", i), client: client, peer: peer})
 	}
-	cloudAddr, err := freeAddress()
-	must(err)
 	addresses := map[string]string{}
 	for _, c := range g.controllers {
 		addresses[c.name] = c.client
@@ -139,15 +140,21 @@
 	g.cloud = standin.NewCloud(g.ctx, standin.CloudOptions{
 		MachineTypes: g.types, Controllers: addresses, Log: slog.New(slog.DiscardHandler), JobSpec: g.spec,
 		OnTaskChange: func(machine, task string, runs bool) {
-			if g.onTask != nil {
-				g.onTask(machine, task, runs)
-				return
-			}
 			g.record.add("machine %s: task %s on it: %v", machine, task, runs)
+			g.mu.Lock()
+			g.taskStarted = g.taskStarted || runs
+			g.mu.Unlock()
 		},
 		WorkerTimes: workerTimes(settings),
 	})
-	go func() { _ = g.serveCloud(cloudAddr) }()
+	cloudAddr := g.startCloud()
+	if g.gateCloud {
+		g.gate = newCapacityGate(g.record, cloudAddr)
+		ln, err := listen()
+		must(err)
+		cloudAddr = ln.Addr().String()
+		go func() { _ = (&http.Server{Handler: g.gate}).Serve(ln) }()
+	}
 	for _, c := range g.controllers {
 		members := []facts{}
 		for _, other := range g.controllers {
@@ -175,9 +182,27 @@
 	return times
 }
 
-func (g *rig) serveCloud(addr string) error {
-	var server *transport.Server = g.cloud.Server(addr)
-	return server.Run(g.ctx)
+// startCloud starts the server of the cloud and returns its address once it answers.
+func (g *rig) startCloud() string {
+	for range 5 {
+		addr, err := freeAddress()
+		must(err)
+		go func() { _ = g.cloud.Server(addr).Run(g.ctx) }()
+		for range 10 {
+			if status, _ := call("GET", addr, "/machine_types", nil, time.Second); status == http.StatusOK {
+				return addr
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	panic(unavailable{"the stand-in of the cloud does not answer"})
+}
+
+// started reports whether any task was started.
+func (g *rig) started() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.taskStarted
 }
 
 func (g *rig) spec(job string) (protocol.Spec, bool) {
