Convert numbers to durations in one place, within a bound

Valid amounts of up to limits.MaxAmount, and numbers of workers, of the cloud and of the settings, are beyond the range of time.Duration. Go leaves the result of such a conversion open: it is the lowest duration on x86-64 and the highest on arm64. On x86-64 a gang with a long save time was given up while it saved, a machine with a long boot time had timed out at once, a spot machine whose notice is long was reclaimed in the past, and a worker lease was negative.

Change: limits.Seconds and limits.Scale own the conversions and limit them to MaxDuration, ten years, so that sums and small multiples do not overflow either. Results within the bound are as before, but for a nanosecond in pauseAfter.

--- a/internal/coordination/election/quorum.go
+++ b/internal/coordination/election/quorum.go
@@ -30,7 +30,7 @@
 // maintainQuorumLease renews the quorum lease until the term is over, by votes, or by heartbeat
 // records if a majority does not vote.
 func (e *Elector) maintainQuorumLease(ctx context.Context, l *Leadership) {
-	interval := time.Duration(float64(e.voter.voteLease) * limits.VoteRenewShare)
+	interval := limits.Scale(e.voter.voteLease, limits.VoteRenewShare)
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	r := &quorumRenewer{
--- a/internal/coordination/election/voter.go
+++ b/internal/coordination/election/voter.go
@@ -63,5 +63,5 @@
 	if v.requestedAt.After(since) {
 		since = v.requestedAt
 	}
-	return time.Since(since) > time.Duration(float64(v.voteLease)*limits.SuspicionShare)
+	return time.Since(since) > limits.Scale(v.voteLease, limits.SuspicionShare)
 }
--- a/internal/coordination/scheduler/cancel_deadlines.go
+++ b/internal/coordination/scheduler/cancel_deadlines.go
@@ -97,8 +97,8 @@
 func (e *environment) cancelDeletionAt(j *job) time.Duration {
 	cancelLimit := limits.Seconds(e.cfg.Workers.CancelWithinS)
 	window := limits.CancelHeartbeatWindow(cancelLimit, e.workerLease)
-	usual := j.cancelledAt + time.Duration(limits.CancelDeleteShare*float64(window))
-	latest := j.cancelledAt + time.Duration(limits.CancelDeleteLatestShare*float64(cancelLimit))
+	usual := j.cancelledAt + limits.Scale(window, limits.CancelDeleteShare)
+	latest := j.cancelledAt + limits.Scale(cancelLimit, limits.CancelDeleteLatestShare)
 	return max(usual, min(j.cancelObservedAt+limits.CancelStopGrace, latest))
 }
 
--- a/internal/coordination/scheduler/decision_pacer.go
+++ b/internal/coordination/scheduler/decision_pacer.go
@@ -49,7 +49,7 @@
 
 // pauseAfter returns the pause after work that took some time, with which it takes the given share of the time.
 func pauseAfter(took time.Duration, share float64) time.Duration {
-	return min(time.Duration(float64(took)*(1-share)/share), limits.MaxDecisionPause)
+	return min(limits.Scale(took, (1-share)/share), limits.MaxDecisionPause)
 }
 
 // RecordDuration tells the scheduler how long the leader's last call of Step took, or 0 if nothing waited for the
--- a/internal/coordination/scheduler/machine_removal.go
+++ b/internal/coordination/scheduler/machine_removal.go
@@ -111,7 +111,7 @@
 	if s.recovery.hasFewUnreported() && m.missedProbes >= limits.UnreportedProbeMisses {
 		return true
 	}
-	timeout := time.Duration(limits.RecoveryTimeoutIntervals * float64(s.heartbeatInterval))
+	timeout := limits.Scale(s.heartbeatInterval, limits.RecoveryTimeoutIntervals)
 	timeout = max(timeout, limits.RecoveryTimeout)
 	if counts.hasCorrelatedUnreported() {
 		timeout = max(timeout, s.unreachableTimeout())
@@ -124,7 +124,7 @@
 	timeout := limits.MinBootTimeout
 	if m.machineType != nil {
 		bootTime := limits.Seconds(m.machineType.BootS)
-		timeout = max(timeout, time.Duration(limits.BootTimeoutFactor*float64(bootTime)))
+		timeout = max(timeout, limits.Scale(bootTime, limits.BootTimeoutFactor))
 	}
 	return s.now > max(m.createdAt, s.termStartedAt)+timeout
 }
@@ -143,7 +143,7 @@
 // unreachableTimeout returns how long a machine may be unreachable before it is returned, unless many
 // machines are unreachable at once.
 func (s *Scheduler) unreachableTimeout() time.Duration {
-	return time.Duration(float64(s.workerLease) * limits.UnreachableLeaseShare)
+	return limits.Scale(s.workerLease, limits.UnreachableLeaseShare)
 }
 
 // lastReachableAt returns when a machine that has reported was last known to be reachable: at its last
--- a/internal/coordination/scheduler/prober.go
+++ b/internal/coordination/scheduler/prober.go
@@ -108,7 +108,7 @@
 // are unverified at once, for example because all of them have reconnected to the leader, the next heartbeats
 // on the new connections verify most of them without a probe.
 func (p *machineProber) isInVerificationGracePeriod(m *machine) bool {
-	grace := time.Duration(limits.UnverifiedGraceIntervals * float64(p.heartbeatInterval))
+	grace := limits.Scale(p.heartbeatInterval, limits.UnverifiedGraceIntervals)
 	return m.hasReported && m.fenced && p.manyUnverified && p.now < m.unverifiedSince+grace
 }
 
--- a/internal/coordination/scheduler/queue.go
+++ b/internal/coordination/scheduler/queue.go
@@ -130,7 +130,7 @@
 			continue
 		}
 		left -= estimate
-		if left > -time.Duration(limits.LateToleranceShare*float64(estimate)) {
+		if left > -limits.Scale(estimate, limits.LateToleranceShare) {
 			return left, false // the estimate may be too high, so a job that is slightly late counts as on time
 		}
 	}
--- a/internal/coordination/scheduler/reachability.go
+++ b/internal/coordination/scheduler/reachability.go
@@ -30,7 +30,7 @@
 
 // staleThreshold returns the age of a machine's last heartbeat above which the machine gets no new tasks.
 func (e *environment) staleThreshold() time.Duration {
-	return time.Duration(float64(e.heartbeatInterval) * limits.FreshHeartbeatIntervals)
+	return limits.Scale(e.heartbeatInterval, limits.FreshHeartbeatIntervals)
 }
 
 // isStale reports whether a machine's last heartbeat is too old for the machine to get new tasks.
--- a/internal/limits/clocks.go
+++ b/internal/limits/clocks.go
@@ -28,8 +28,5 @@
 
 // maxDrift returns how far two clocks may drift apart within a duration.
 func maxDrift(duration time.Duration) time.Duration {
-	return time.Duration(float64(duration) * 2 * ClockDriftRatio)
+	return Scale(2*duration, ClockDriftRatio)
 }
-
-// Seconds converts a number of seconds, as in the protocol and the settings, to a duration.
-func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/limits/leadership.go
+++ b/internal/limits/leadership.go
@@ -74,5 +74,5 @@
 
 // VoteLease returns how long a controller's vote for a leader lasts, given the duration of a worker lease.
 func VoteLease(workerLease time.Duration) time.Duration {
-	return min(max(time.Duration(float64(workerLease)*VoteLeaseShare), VoteLeaseMin), VoteLeaseMax)
+	return min(max(Scale(workerLease, VoteLeaseShare), VoteLeaseMin), VoteLeaseMax)
 }
