Compute the work lost by a preemption in constant time

From then on the leader answered nothing: polls about a cancelled job failed for 90 s, cancellations got 503, and all workers lost their leases and tasks.

Cause: taskPreemptionCost computed the run time modulo the checkpoint interval by repeated subtraction, in the goroutine that owns the scheduler. With a nanosecond it takes 1e9 steps for each second, task and machine; with an interval below the rounding error of the run time it never ends.

Change: unsavedRunTime is one integer remainder of durations, which takes the same time for every interval, is exact, and is the same on all processors. An interval below a nanosecond leaves nothing unsaved. Run times of running tasks come from one method.

--- a/internal/coordination/scheduler/capacity_offer.go
+++ b/internal/coordination/scheduler/capacity_offer.go
@@ -29,7 +29,7 @@
 	remainingS := a.job.expectedOccupancySeconds()
 	if a.state == stateRunning {
 		remainingS = a.job.estimatedRunSeconds()
-		remainingS = max(remainingS-(now-a.runningSince).Seconds(), limits.MinRemainingShare*remainingS)
+		remainingS = max(remainingS-a.runTime(now).Seconds(), limits.MinRemainingShare*remainingS)
 	}
 	c.usedCPUs += a.job.demand.CPUs
 	c.remainingCPUSeconds += remainingS * a.job.demand.CPUs
--- a/internal/coordination/scheduler/spot_notice.go
+++ b/internal/coordination/scheduler/spot_notice.go
@@ -39,5 +39,5 @@
 		margin := limits.SpotNoticeSaveIntervals * s.heartbeatInterval.Seconds()
 		return remaining < a.job.spec.SaveS+margin
 	}
-	return a.job.estimatedRunSeconds()-a.runTime(s.now) > remaining
+	return a.job.estimatedRunSeconds()-a.runTime(s.now).Seconds() > remaining
 }
--- a/internal/coordination/scheduler/task_progress.go
+++ b/internal/coordination/scheduler/task_progress.go
@@ -11,12 +11,27 @@
 // confirmStart records that the worker has received the start of the attempt.
 func (a *assignment) confirmStart() { a.directID, a.startUnconfirmed = 0, false }
 
-// runTime returns the seconds since the task was first reported as running; 0 if it is not running.
-func (a *assignment) runTime(now time.Duration) float64 {
+// runTime returns the time since the task was first reported as running; 0 if it is not running.
+func (a *assignment) runTime(now time.Duration) time.Duration {
 	if a.state != stateRunning {
 		return 0
 	}
-	return (now - a.runningSince).Seconds()
+	return now - a.runningSince
+}
+
+// unsavedRunTime returns the run time since the last checkpoint that the task has saved by itself, or since its
+// start if it saves none. A task whose checkpoint interval is below the resolution of a duration has nothing
+// unsaved.
+func (a *assignment) unsavedRunTime(now time.Duration) time.Duration {
+	ran := a.runTime(now)
+	if a.job.spec.CheckpointS == 0 {
+		return ran
+	}
+	interval := limits.Seconds(a.job.spec.CheckpointS)
+	if interval == 0 {
+		return 0
+	}
+	return ran % interval
 }
 
 // updateProgress updates an assignment from the state of the task that its worker reports.
@@ -81,7 +96,7 @@
 // handleTaskEnded handles the end of an assigned task, or the worker's refusal to start it.
 func (s *Scheduler) handleTaskEnded(a *assignment, status *protocol.TaskStatus) endedTask {
 	j, m := a.job, a.machine
-	runTime := a.runTime(s.now)
+	runTime := a.runTime(s.now).Seconds()
 	s.assignments.release(a)
 	s.gangs.handleTaskEnded(a, status)
 	var ended endedTask
--- a/internal/coordination/scheduler/victims.go
+++ b/internal/coordination/scheduler/victims.go
@@ -86,19 +86,10 @@
 	return cost
 }
 
-// taskPreemptionCost returns the work, in CPU seconds, that stopping one task would lose: its run time
-// since the last checkpoint, or since its start if it has no checkpoints, plus one second. The cost grows
-// with each earlier stop of the task, so that the same cheap tasks are not preempted repeatedly.
+// taskPreemptionCost returns the work, in CPU seconds, that stopping one task would lose, plus that of one second.
+// The cost grows with each earlier stop of the task, so that the same cheap tasks are not preempted repeatedly.
 func (p *placer) taskPreemptionCost(a *assignment) float64 {
-	ran := 0.0
-	if a.state == stateRunning {
-		ran = (p.now - a.runningSince).Seconds()
-	}
-	if a.job.spec.CheckpointS > 0 {
-		for ran > a.job.spec.CheckpointS {
-			ran -= a.job.spec.CheckpointS
-		}
-	}
 	stops := float64(a.job.stopCounts[a.index])
-	return (ran + 1) * a.job.demand.CPUs * (1 + p.cfg.Options.Preemption.RestartWeight*stops)
+	lostSeconds := a.unsavedRunTime(p.now).Seconds()
+	return (lostSeconds + 1) * a.job.demand.CPUs * (1 + p.cfg.Options.Preemption.RestartWeight*stops)
 }
