Search victims for and among large gangs without looking at every pair

A gang of 2,000 tasks that preempts independent tasks on 2,000 machines kept the scheduler for 3.3 s of a whole core in one step, and the search for victims on 2,000 machines with one gang of 8,000 tasks took 0.27 s; both grow with the square. A controller has a fraction of a core.

Cause: the placement of a gang filtered all machines again after every task that has victims, although victims that are independent free nothing elsewhere. And the cost of a gang was added up from all its tasks for each of its machines, in the order of a map, so that the last digit of the sum could differ between two equal runs.

Change: all machines are filtered again only if a victim belongs to a gang. The cost of a gang is added up once a pass, in the order of its tasks. Decisions are the same.

--- a/internal/coordination/scheduler/gang_placement.go
+++ b/internal/coordination/scheduler/gang_placement.go
@@ -127,6 +127,7 @@
 			p.pass.addFreedMachine(m)
 		}
 	}
+	delete(p.pass.gangCosts, found.job) // it has more tasks now
 	p.pass.clearUnplaceable()
 }
 
@@ -274,11 +275,13 @@
 	g.viewOf(m).addTask(g.job.demand)
 	g.tasksInZone[m.zone]++
 	g.tasks = append(g.tasks, taskPlacement{m, victims})
+	stopsGang := false
 	for _, victim := range victims {
 		g.addVictim(victim)
+		stopsGang = stopsGang || victim.job.gang != nil
 	}
-	if len(victims) > 0 || g.isZoneFull(m.zone) {
-		g.collectCandidates() // victims may free resources on other machines, and a full zone is excluded
+	if stopsGang || g.isZoneFull(m.zone) {
+		g.collectCandidates() // a gang frees resources on other machines, and a full zone is excluded
 	} else {
 		g.addCandidate(m)
 	}
--- a/internal/coordination/scheduler/placer.go
+++ b/internal/coordination/scheduler/placer.go
@@ -41,6 +41,7 @@
 
 	unplaceable      map[placementRequest]bool // requests for which no machine was found in this pass
 	unplaceableGangs map[gangRequest]bool
+	gangCosts        map[*job]float64 // cost of preempting a gang, as far as it was needed; see preemptionCost
 
 	groups     placement.ScoreGroups[*machine] // reused between calls of collectCandidates
 	unreserved reservationOrder                // machines that reserveForJob may reserve
@@ -68,6 +69,7 @@
 		pass: placementPass{
 			unplaceable:      map[placementRequest]bool{},
 			unplaceableGangs: map[gangRequest]bool{},
+			gangCosts:        map[*job]float64{},
 			groups:           placement.NewScoreGroups(compareNames),
 		},
 		nextPreemptionSearchAt: map[placementRequest]time.Duration{},
@@ -113,6 +115,7 @@
 	pass.machines, pass.withFreeResources = pass.machines[:0], pass.withFreeResources[:0]
 	pass.maxFreeResources = resource.Vector{}
 	pass.clearUnplaceable()
+	clear(pass.gangCosts)
 	for _, m := range p.inventory.all() {
 		m.wasReserved, m.reservedFor = m.reservedFor != nil, nil
 		if m.draining || !p.isSchedulable(m) || m.isAtTaskLimit() {
@@ -128,7 +131,10 @@
 }
 
 // endPass ends a pass: later changes of machines do not concern it.
-func (p *placer) endPass() { p.pass.unreserved.reset() }
+func (p *placer) endPass() {
+	p.pass.unreserved.reset()
+	clear(p.pass.gangCosts) // keeps no closed jobs alive
+}
 
 // placementSearch is the search for machines for the tasks of one job in a pass.
 type placementSearch struct {
--- a/internal/coordination/scheduler/victims.go
+++ b/internal/coordination/scheduler/victims.go
@@ -79,9 +79,12 @@
 	if a.job.gang == nil {
 		return p.taskPreemptionCost(a)
 	}
-	cost := 0.0
-	for _, member := range a.job.assignments {
-		cost += p.taskPreemptionCost(member)
+	cost, known := p.pass.gangCosts[a.job]
+	if !known {
+		for _, member := range a.job.sortedAssignments() {
+			cost += p.taskPreemptionCost(member)
+		}
+		p.pass.gangCosts[a.job] = cost
 	}
 	return cost
 }
--- a/internal/coordination/scheduler/zone_rules_test.go
+++ b/internal/coordination/scheduler/zone_rules_test.go
@@ -16,14 +16,7 @@
 		"scatter":  {SpreadZones: true, Tasks: 2 * machines}, // half of the tasks, as the fleet has one zone
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newLargeFleet(t, machines)
-			f.storeRentals()
-			s := f.startTerm(3, 0)
-			f.loadState(s)
-			for f.countRegistered() < machines {
-				f.reportAll(s)
-				f.tick(s, 1)
-			}
+			f, s := newRegisteredFleet(t, machines)
 			spec.ID, spec.Class, spec.Shape, spec.CPUs = "job-1", "c", protocol.ShapeArray, 8
 			requireReturn(t, func() { f.submit(s, 9999, spec) })
 			if placed := len(s.jobs.find("job-1").assignments); placed != machines {
