Convert numbers to counts in one place, within a bound

On x86-64 no machine was rented for a job whose tasks need less than about 1e-16 CPUs: the number of tasks that the team's limit allows did not fit into an integer and became the lowest one. On arm64 it becomes the highest, and the job runs. Likewise - tasks "fitted" on a machine whose free CPUs are a rounding error below zero, which hides a zone from a gang; a machine type without CPUs made the planned fraction of a task not a number, for the machines after it too; a large value_kb gave chunks of tasks; a large cloud.rps did not bound the rental requests of one plan.

Change: limits.Whole owns these conversions, with an upper bound at each caller: the tasks of the job, the machine's limit of tasks, limits.ValueBytes (the 64 KiB that a transaction may have), limits.MaxPlannedRequests.

The code builds for arm64; the tests ran on x86-64 only.

--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -72,7 +72,7 @@
 		return nil
 	}
 	machines := limits.DivideSockets(m.MaxSockets, len(s.Members)).MaxMachines
-	supported := int(m.CoreShare * limits.MaxHeartbeatsPerCore * interval)
+	supported := limits.Whole(m.CoreShare*limits.MaxHeartbeatsPerCore*interval, machines)
 	if machines <= supported {
 		return nil
 	}
--- a/internal/coordination/leader/cloud_client.go
+++ b/internal/coordination/leader/cloud_client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -32,7 +33,7 @@
 func NewCloudClient(address string, rps float64, dialer transport.Dialer) *CloudClient {
 	return &CloudClient{
 		client:    transport.NewClient(address, 2, limits.MaxUpstreamBytes).WithDialer(dialer),
-		limiter:   rate.NewLimiter(rate.Limit(rps*limits.CloudRateShare), max(1, int(rps))),
+		limiter:   rate.NewLimiter(rate.Limit(rps*limits.CloudRateShare), max(1, limits.Whole(rps, math.MaxInt32))),
 		callSlots: make(chan struct{}, limits.MaxCloudCalls),
 	}
 }
--- a/internal/coordination/resource/resource.go
+++ b/internal/coordination/resource/resource.go
@@ -66,5 +66,5 @@
 	if demand.MemoryGB > 0 {
 		count = min(count, v.MemoryGB/demand.MemoryGB)
 	}
-	return int(min(count+limits.Epsilon, limits.MaxTasksPerMachine))
+	return limits.Whole(count+limits.Epsilon, limits.MaxTasksPerMachine)
 }
--- a/internal/coordination/resource/resource_test.go
+++ b/internal/coordination/resource/resource_test.go
@@ -64,3 +64,13 @@
 		}
 	}
 }
+
+// TestTasksThatFitWithoutRoom guards against rounding errors in what is free on a full machine: with the smallest
+// demand that a submission may have, none fit, and not a huge negative number of tasks.
+func TestTasksThatFitWithoutRoom(t *testing.T) {
+	for _, freeCPUs := range []float64{0, -1e-16, -2} {
+		if got := (Vector{CPUs: freeCPUs}).TasksThatFit(Vector{CPUs: 5e-324}); got != 0 {
+			t.Errorf("%d tasks fit into %v CPUs, want 0", got, freeCPUs)
+		}
+	}
+}
--- a/internal/coordination/scheduler/aging.go
+++ b/internal/coordination/scheduler/aging.go
@@ -34,7 +34,7 @@
 		return 0
 	}
 	share := float64(age-limits.AllTasksCreditAge) / float64(limits.AllTasksCreditSpan)
-	return max(1, int(math.Ceil(min(share, 1)*float64(j.spec.Tasks))))
+	return max(1, limits.Whole(math.Ceil(share*float64(j.spec.Tasks)), j.spec.Tasks))
 }
 
 // starvedTasks returns how many tasks of a job are placed before those of all other jobs. A job with
--- a/internal/coordination/scheduler/capacity_offer.go
+++ b/internal/coordination/scheduler/capacity_offer.go
@@ -54,7 +54,8 @@
 		return 0
 	}
 	startable := c.startableTasks(j, tasksPerMachine, startWithinS) + *carry
-	tasks := min(jp.tasksLeft, jp.zones.remaining(c.pool.zone), int(startable+limits.Epsilon), tasksPerMachine)
+	mostTasks := min(jp.tasksLeft, jp.zones.remaining(c.pool.zone), tasksPerMachine)
+	tasks := limits.Whole(startable+limits.Epsilon, mostTasks)
 	*carry = min(startable-float64(tasks), 1)
 	if tasks <= 0 {
 		return 0
@@ -77,7 +78,11 @@
 	if wait := startWithinS - c.readyInS; wait > 0 && c.remainingCPUSeconds > 0 {
 		free += c.usedCPUs * min(1, wait*c.usedCPUs/(2*c.remainingCPUSeconds))
 	}
-	return min(max(free/c.cpusPerTask(j, tasksPerMachine), 0), float64(tasksPerMachine))
+	cpusPerTask := c.cpusPerTask(j, tasksPerMachine)
+	if cpusPerTask == 0 { // neither the task nor the machine type has CPUs
+		return float64(tasksPerMachine)
+	}
+	return min(max(free/cpusPerTask, 0), float64(tasksPerMachine))
 }
 
 // cpusPerTask returns the CPUs that are allocated to a task. A task that requests none, but accelerators
--- a/internal/coordination/scheduler/capacity_plan.go
+++ b/internal/coordination/scheduler/capacity_plan.go
@@ -32,7 +32,7 @@
 		capacityPlanner: p,
 		machinesInZone:  map[string]int{},
 		toRent:          map[machinePool]float64{},
-		requestsLeft:    max(1, int(p.cfg.CloudRPS*limits.PlanInterval.Seconds())),
+		requestsLeft:    max(1, limits.Whole(p.cfg.CloudRPS*limits.PlanInterval.Seconds(), limits.MaxPlannedRequests)),
 		pendingRequests: map[machinePool]int{},
 	}
 	plan.addMachines()
@@ -170,7 +170,7 @@
 // machinesToRent returns how many machines to rent from a pool without exceeding maxMachines. A fraction
 // below MinRentalFraction is dropped, unless there is no machine at all.
 func (p *capacityPlan) machinesToRent(pool machinePool) int {
-	count := int(math.Floor(p.toRent[pool] + 1 - limits.MinRentalFraction))
+	count := limits.Whole(p.toRent[pool]+1-limits.MinRentalFraction, math.MaxInt32)
 	if count == 0 && p.machineCount == 0 {
 		count = 1
 	}
--- a/internal/coordination/scheduler/capacity_plan_test.go
+++ b/internal/coordination/scheduler/capacity_plan_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"quillshunt/internal/limits"
+	"quillshunt/internal/protocol"
 )
 
 // TestGangPlannedAllOrNothing checks that once a gang has waited for GangCapacityTimeout, capacity is planned
@@ -88,3 +89,30 @@
 		})
 	}
 }
+
+// TestTinyTasksGetMachines guards against jobs whose tasks need so little that the team's limit allows more of them
+// than an integer can hold: machines must be rented for them as for any other job, on every processor.
+func TestTinyTasksGetMachines(t *testing.T) {
+	for _, cpus := range []float64{5e-324, 1e-300, 1e-18, 0} {
+		f := newSchedulerFixture(t, 0)
+		rentals := f.scheduler.rentals.count()
+		f.submitJob("job-1", "red", "standard", 3, cpus, 0)
+		f.tick()
+		if f.scheduler.rentals.count() == rentals {
+			t.Errorf("no machine is rented for tasks of %v CPUs", cpus)
+		}
+	}
+}
+
+// TestMachineTypeWithoutCPUs guards against a plan that divides by the CPUs of a machine type that has none: the tasks
+// that need only memory are planned there, and the plan of the next machine is not affected.
+func TestMachineTypeWithoutCPUs(t *testing.T) {
+	f := newSchedulerFixture(t, 0)
+	f.submitJob("job-1", "red", "standard", 100, 0, 0) // tasks of 1 GB
+	jp := jobPlan{job: f.scheduler.jobs.find("job-1"), tasksLeft: 100, zones: &zonePlan{maxPerZone: 100}}
+	offer := newRentalOffer(machinePool{}, &protocol.MachineType{MemoryGB: 8})
+	carry := 0.5
+	if tasks := offer.allocateTasks(&jp, 0, &carry); tasks != 8 || carry != 0.5 {
+		t.Errorf("%d tasks of 1 GB planned on 8 GB, %v carried over; want 8 and 0.5", tasks, carry)
+	}
+}
--- a/internal/coordination/scheduler/job_plan.go
+++ b/internal/coordination/scheduler/job_plan.go
@@ -50,7 +50,7 @@
 func (j *job) tasksWithinTeamLimit() int {
 	tasks := j.waitingTasks()
 	if j.demand.CPUs > 0 {
-		tasks = min(tasks, int((j.team.cfg.MaxCPUs-j.team.allocated.CPUs)/j.demand.CPUs+limits.Epsilon))
+		tasks = limits.Whole((j.team.cfg.MaxCPUs-j.team.allocated.CPUs)/j.demand.CPUs+limits.Epsilon, tasks)
 	}
 	return tasks
 }
--- a/internal/limits/capacity.go
+++ b/internal/limits/capacity.go
@@ -20,6 +20,9 @@
 	// SimilarPriceRatio is the multiple of the cheapest pool's price up to which another pool is used
 	// beside the cheapest one.
 	SimilarPriceRatio = 1.5
+	// MaxPlannedRequests is the largest number of rental requests that one plan starts, whatever the cloud's rate
+	// limit allows. It bounds the time that a plan takes.
+	MaxPlannedRequests = 1000
 	// MinPoolRequests is the least value of the limit on pending rental requests for one pool.
 	MinPoolRequests = 2
 	// ZoneSpreadPenalty is the fraction by which each machine in a zone raises the cost of all pools in that
--- a/internal/limits/conversions_test.go
+++ b/internal/limits/conversions_test.go
@@ -43,6 +43,9 @@
 	if got := Whole(1e300, math.MaxInt64); got != math.MaxInt64 {
 		t.Errorf("Whole(1e300, math.MaxInt64) = %v", got)
 	}
+	if got := HeapLimit(1e300); got != math.MaxInt64 {
+		t.Errorf("heap limit %d with 1e300 MB of memory", got)
+	}
 	if lease := LeaseExpiredAfter(Seconds(MaxAmount)); lease <= MaxDuration {
 		t.Errorf("a lease of %v seconds has expired after %v", MaxAmount, lease)
 	}
--- a/internal/limits/process.go
+++ b/internal/limits/process.go
@@ -1,5 +1,7 @@
 package limits
 
+import "math"
+
 // Memory and CPU of a controller.
 const (
 	// HeapLimitShare is the share of the memory that is set as the soft memory limit of the Go runtime. The
@@ -29,4 +31,6 @@
 )
 
 // HeapLimit returns the Go runtime's soft memory limit in bytes for a controller with the given memory.
-func HeapLimit(memoryMB float64) int64 { return int64(memoryMB * HeapLimitShare * (1 << 20)) }
+func HeapLimit(memoryMB float64) int64 {
+	return Whole(memoryMB*HeapLimitShare*(1<<20), int64(math.MaxInt64))
+}
--- a/internal/limits/sockets.go
+++ b/internal/limits/sockets.go
@@ -55,7 +55,7 @@
 func DivideSockets(sockets, otherControllers int) SocketShares {
 	userSlots := min(UserSlots, shareOf(sockets, UserSlotsShare))
 	needed := userSlots + ControllerStateConns + MaxCloudCalls + 2*otherControllers + SpareSockets
-	reserved := min(needed, int(float64(sockets)*ReservedSocketShare))
+	reserved := min(needed, Whole(float64(sockets)*ReservedSocketShare, sockets))
 
 	s := SocketShares{UserSlots: userSlots, MaxConns: sockets - reserved}
 	s.InboundHeadroom = shareOf(s.MaxConns, InboundHeadroomShare)
@@ -67,7 +67,7 @@
 }
 
 // shareOf returns the given share of a total, rounded down, but at least 1.
-func shareOf(total int, share float64) int { return max(1, int(float64(total)*share)) }
+func shareOf(total int, share float64) int { return max(1, Whole(float64(total)*share, total)) }
 
 // HeartbeatQueueSize returns the number of heartbeats that may wait for the leader's scheduler: one from each
 // worker that can be connected, as a worker has at most one in flight.
--- a/internal/limits/state.go
+++ b/internal/limits/state.go
@@ -80,6 +80,9 @@
 	// MinTransactionOps is the smallest supported limit on the number of operations in a transaction. An
 	// election needs three.
 	MinTransactionOps = 4
+	// MaxTransactionBytes is the largest size of a transaction, and thus of a value, in bytes. It is set by the
+	// protocol.
+	MaxTransactionBytes = 64 << 10
 	// FinishedTasksOverheadBytes is the size of a record of finished tasks without its bitmap, rounded
 	// up.
 	FinishedTasksOverheadBytes = 128
@@ -106,3 +109,7 @@
 	// complete.
 	MaxChunkWriteDelay = 15 * time.Second
 )
+
+// ValueBytes returns the largest size of a value in bytes, given the state service's limit in KiB. It is at most
+// MaxTransactionBytes.
+func ValueBytes(valueKB float64) int { return Whole(valueKB*1024, MaxTransactionBytes) }
--- a/internal/standin/state_faults.go
+++ b/internal/standin/state_faults.go
@@ -1,10 +1,12 @@
 package standin
 
 import (
+	"math"
 	"time"
 
 	"golang.org/x/time/rate"
 
+	"quillshunt/internal/limits"
 	"quillshunt/internal/protocol"
 	"quillshunt/internal/storage"
 )
@@ -49,7 +51,7 @@
 	if perSecond == 0 {
 		return nil
 	}
-	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, limits.Whole(perSecond, math.MaxInt32)))
 }
 
 // isWithinRequestRate counts a request. It returns false if the request exceeds the rate.
--- a/internal/storage/finished_tasks.go
+++ b/internal/storage/finished_tasks.go
@@ -45,7 +45,7 @@
 // TasksPerChunk returns the number of tasks in a chunk, a multiple of 64, for which its record fits the
 // value limit.
 func TasksPerChunk(valueKB float64) int {
-	chars := int(valueKB*1024) - limits.FinishedTasksOverheadBytes
+	chars := limits.ValueBytes(valueKB) - limits.FinishedTasksOverheadBytes
 	tasks := chars / 4 * 3 * 8 // four characters of base64 encode three bytes
 	return max(tasks/wordBits*wordBits, wordBits)
 }
--- a/internal/storage/finished_tasks_test.go
+++ b/internal/storage/finished_tasks_test.go
@@ -1,10 +1,12 @@
 package storage
 
 import (
+	"math"
 	"testing"
 
 	"pgregory.net/rapid"
 
+	"quillshunt/internal/limits"
 	"quillshunt/internal/protocol"
 )
 
@@ -65,3 +67,17 @@
 		}
 	}
 }
+
+// TestRecordSizesWithExtremeValueLimit checks that the sizes of records stay within what the service takes in one
+// transaction, whatever limit on values the settings name.
+func TestRecordSizesWithExtremeValueLimit(t *testing.T) {
+	for _, valueKB := range []float64{64, 1e6, 1e300, math.MaxFloat64} {
+		tasks := TasksPerChunk(valueKB)
+		if tasks <= 0 || tasks%64 != 0 || tasks/8 > limits.MaxTransactionBytes {
+			t.Errorf("with a limit of %v KiB a chunk has %d tasks", valueKB, tasks)
+		}
+		if machines := MaxRentalMachines(valueKB); machines != limits.MaxRentalSize {
+			t.Errorf("with a limit of %v KiB a rental has up to %d machines, want %d", valueKB, machines, limits.MaxRentalSize)
+		}
+	}
+}
--- a/internal/storage/rate.go
+++ b/internal/storage/rate.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"quillshunt/internal/limits"
 )
 
 // newLimiter returns a limiter for a share of rps. It allows bursts of as many requests as in one second,
 // but of at least minBurst.
 func newLimiter(rps, share float64, minBurst int) *rate.Limiter {
-	return rate.NewLimiter(rate.Limit(rps*share), max(minBurst, int(rps*share)))
+	return rate.NewLimiter(rate.Limit(rps*share), max(minBurst, limits.Whole(rps*share, math.MaxInt32)))
 }
 
 // waitForRateLimit waits until the rate limits allow a request with a number of write operations. Its
--- a/internal/storage/rentals.go
+++ b/internal/storage/rentals.go
@@ -23,6 +23,6 @@
 // MaxRentalMachines returns the largest number of machines for one rental. The cloud limits the number, and
 // so does the value limit, because the record of the rental holds the names of all its machines.
 func MaxRentalMachines(valueKB float64) int {
-	fitting := (int(valueKB*1024) - limits.RentalOverheadBytes) / limits.MachineNameBytes
+	fitting := (limits.ValueBytes(valueKB) - limits.RentalOverheadBytes) / limits.MachineNameBytes
 	return min(max(fitting, 1), limits.MaxRentalSize)
 }
