Bound what a user's estimate may do to the estimates of its class

What callers saw: nothing yet; the review had found by reading that a ReckonS near the smallest number gives estimates that are not numbers. The measured run time divided by such an estimate is infinite, and so is the moving average of the class for the rest of the term: every other job of the class counted as unable to meet its deadlines, so it was placed last and never preempted, and the conversion of its estimate to a duration differed between processors.

Change: a ratio counts for the class up to MaxRunTimeRatio, 100.

It passes now; after 100 tasks with exact estimates the ratio is below 2.

--- a/internal/coordination/scheduler/job_class.go
+++ b/internal/coordination/scheduler/job_class.go
@@ -21,9 +21,11 @@
 	c.fetchSeconds += weight * (seconds - c.fetchSeconds)
 }
 
-// recordRunTimeRatio updates runTimeRatio with a task's run time divided by the submitter's estimate.
-func (c *jobClass) recordRunTimeRatio(ratio float64) {
+// recordRunTime updates runTimeRatio with a task's run time and the submitter's estimate, which is above 0. The
+// estimate may be so low that their ratio is infinite.
+func (c *jobClass) recordRunTime(seconds, estimateS float64) {
 	c.runSamples++
+	ratio := min(seconds/estimateS, limits.MaxRunTimeRatio)
 	weight := max(1/float64(c.runSamples), limits.MinAverageWeight)
 	c.runTimeRatio += weight * (ratio - c.runTimeRatio)
 }
--- a/internal/coordination/scheduler/task_progress.go
+++ b/internal/coordination/scheduler/task_progress.go
@@ -150,7 +150,7 @@
 // machine.
 func (j *job) recordRunTime(m *machine, runTime float64) {
 	if j.spec.EstimateS > 0 {
-		j.class.recordRunTimeRatio(runTime / j.spec.EstimateS)
+		j.class.recordRunTime(runTime, j.spec.EstimateS)
 	}
 	if j.runTimeCount >= limits.MinRunTimeSamples && j.gang == nil { // a gang runs at the speed of its slowest machine
 		m.runTimeRatioCount++
--- a/internal/limits/jobs.go
+++ b/internal/limits/jobs.go
@@ -17,6 +17,10 @@
 	// MinAverageWeight is the least weight of a new sample in the moving averages of a job class: the ratio
 	// of run times to the users' estimates, and the image fetch times.
 	MinAverageWeight = 0.05
+	// MaxRunTimeRatio is the highest ratio of a run time to the user's estimate that counts for the job's class.
+	// Estimates are often wrong by half; a job whose estimate is far too low must not affect the other jobs of its
+	// class for long.
+	MaxRunTimeRatio = 100
 	// MinImageFetchRate is the slowest image fetch rate that estimates assume, in GB per second.
 	MinImageFetchRate = 1e-3
 )
