Stop a task without saving if it would save for more than ten minutes

A task that is preempted holds its resources for as long as its user says that it needs to save, and StashS may be 10^12 seconds: the job that preempted it would wait for ever, and a faulty machine with a task of such a gang was never returned on arm64 (on x86-64 the time overflowed into the past, and the machine was returned while the gang saved).

Change: a task whose StashS is above MaxSaveTime, ten minutes, is stopped without saving; it goes on from its last own checkpoint, as the cost of preempting it assumes. One method says whether and how long a task saves, for the stop, the spot notice and the return of a gang's machine.

--- a/internal/coordination/scheduler/commands.go
+++ b/internal/coordination/scheduler/commands.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"quillshunt/internal/limits"
 	"quillshunt/internal/protocol"
@@ -124,14 +125,27 @@
 func (a *assignment) stopCommand() protocol.Command {
 	grace := 0.0
 	if a.savesOnStop() {
-		grace = a.job.spec.SaveS + limits.SaveMargin.Seconds()
+		grace = (a.job.saveTime() + limits.SaveMargin).Seconds()
 	}
 	return protocol.Command{Verb: protocol.CommandStop, Task: a.taskName, Attempt: a.attempt, GraceS: &grace}
 }
 
 // savesOnStop reports whether a stopped task should save a checkpoint before it ends.
 func (a *assignment) savesOnStop() bool {
-	return a.job.spec.CheckpointS > 0 && !a.job.cancelled && !a.skipSaving && a.stopReason != stopReasonSuperseded
+	return a.job.maySaveOnStop() && !a.job.cancelled && !a.skipSaving && a.stopReason != stopReasonSuperseded
+}
+
+// maySaveOnStop reports whether the tasks of a job can save a checkpoint when they are stopped, within MaxSaveTime.
+func (j *job) maySaveOnStop() bool {
+	return j.spec.CheckpointS > 0 && limits.Seconds(j.spec.SaveS) <= limits.MaxSaveTime
+}
+
+// saveTime returns the time that a stopped task of the job needs to save a checkpoint; 0 if it saves none.
+func (j *job) saveTime() time.Duration {
+	if !j.maySaveOnStop() {
+		return 0
+	}
+	return limits.Seconds(j.spec.SaveS)
 }
 
 // commandsToRepeat returns the commands of the last heartbeat reply, without starts that have arrived since
--- a/internal/coordination/scheduler/gang_table.go
+++ b/internal/coordination/scheduler/gang_table.go
@@ -145,7 +145,7 @@
 // It includes the time in which the other tasks detect that one was stopped (gang_peer_s).
 func (t *gangTable) saveDeadline(g *gang) time.Duration {
 	peers := optionalSeconds(t.cfg.Workers.GangPeerDetectionS)
-	return g.stopStartedAt + limits.Seconds(g.job.spec.SaveS) + limits.SaveMargin + peers
+	return g.stopStartedAt + g.job.saveTime() + limits.SaveMargin + peers
 }
 
 // optionalSeconds converts an optional setting in seconds to a duration; a missing setting is 0.
--- a/internal/coordination/scheduler/spot_notice.go
+++ b/internal/coordination/scheduler/spot_notice.go
@@ -35,9 +35,9 @@
 // mustStopBeforeReclaim reports whether a task has to stop now, given the seconds that remain until the
 // cloud reclaims its machine.
 func (s *Scheduler) mustStopBeforeReclaim(a *assignment, remaining float64) bool {
-	if a.job.spec.CheckpointS > 0 {
+	if a.job.maySaveOnStop() {
 		margin := limits.SpotNoticeSaveIntervals * s.heartbeatInterval.Seconds()
-		return remaining < a.job.spec.SaveS+margin
+		return remaining < a.job.saveTime().Seconds()+margin
 	}
 	return a.job.estimatedRunSeconds()-a.runTime(s.now).Seconds() > remaining
 }
--- a/internal/limits/queue.go
+++ b/internal/limits/queue.go
@@ -65,4 +65,7 @@
 	// SaveMargin is added to the time that a task needs to save a checkpoint, to get the grace period of its
 	// stop command.
 	SaveMargin = 2 * time.Second
+	// MaxSaveTime is the longest time that a stopped task gets to save a checkpoint. A task that needs longer is
+	// stopped without saving: what it would occupy meanwhile is worth more than its work since the last checkpoint.
+	MaxSaveTime = 10 * time.Minute
 )
