Move the watchdog of the event loop to a package of its own

Cause: the scheduler's goroutine needs the same watchdog, and the counting of ticks, the stacks and the log entries should not stand twice. Change: package watchdog has them; transport keeps what is special about an event loop. No behaviour changes. TestWatchdogCountsTicks moves with the counting, and its checks of the event loop's turns stay in transport, as TestLoopWatchdogCountsTicks.

--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -14,7 +14,7 @@
 // layer maps each package below internal to its layer. A package may import only packages of lower
 // layers.
 var layer = map[string]int{
-	"limits": 0, "config": 1, "metrics": 1, "transport": 2, "protocol": 3, "storage": 4,
+	"limits": 0, "config": 1, "metrics": 1, "watchdog": 1, "transport": 2, "protocol": 3, "storage": 4,
 	"coordination/resource": 1, "coordination/placement": 2,
 	"coordination/peer/peerpb": 5, "coordination/election": 5, "coordination/peer": 6, "coordination/scheduler": 6,
 	"coordination/leader": 7, "coordination/gateway": 8, "coordination/controller": 9,
--- a/internal/transport/events.go
+++ b/internal/transport/events.go
@@ -29,12 +29,12 @@
 
 // newEventHandler returns the handler for one run of the event loop, which ends when ctx is done.
 func newEventHandler(ctx context.Context, server *Server) *eventHandler {
-	server.loopStalled.Store(0) // of an earlier run
+	server.loopWatchdog.Reset() // of an earlier run
 	return &eventHandler{
 		server:   server,
 		ctx:      ctx,
 		conns:    map[gnet.Conn]*serverConn{},
-		watchdog: &loopWatchdog{log: server.options.Log, addr: server.options.Addr, stalled: &server.loopStalled},
+		watchdog: &loopWatchdog{watchdog: server.loopWatchdog},
 	}
 }
 
--- a/internal/transport/reset_test.go
+++ b/internal/transport/reset_test.go
@@ -254,33 +254,33 @@
 	f.awaitNoConns()
 }
 
-// TestWatchdogCountsTicks checks when an event loop counts as stalled: after LoopStalledTicks ticks in a row
+// TestLoopWatchdogCountsTicks checks when an event loop counts as stalled: after LoopStalledTicks ticks in a row
 // without a turn of the loop, however much time has passed, as a process that was stopped has no ticks. The log
 // has the stacks of all goroutines once.
-func TestWatchdogCountsTicks(t *testing.T) {
+func TestLoopWatchdogCountsTicks(t *testing.T) {
 	var log bytes.Buffer
-	var stalled atomic.Int64
-	w := &loopWatchdog{log: slog.New(slog.NewTextHandler(&log, nil)), stalled: &stalled}
+	w := &loopWatchdog{watchdog: newLoopWatchdog(slog.New(slog.NewTextHandler(&log, nil)), "127.0.0.1:1")}
+	stalledFor := w.watchdog.StalledFor
 	if !w.beginTurn() {
 		t.Fatal("no turn at the first tick")
 	}
 	for range limits.LoopStalledTicks - 1 {
-		if w.beginTurn() || stalled.Load() != 0 {
-			t.Fatalf("second turn, or stalled for %v, before the limit", time.Duration(stalled.Load()))
+		if w.beginTurn() || stalledFor() != 0 {
+			t.Fatalf("second turn, or stalled for %v, before the limit", stalledFor())
 		}
 	}
 	for ticks := limits.LoopStalledTicks; ticks < limits.LoopStalledTicks+3; ticks++ {
 		want := time.Duration(ticks) * limits.ConnSweepInterval
-		if w.beginTurn() || time.Duration(stalled.Load()) != want {
-			t.Errorf("second turn, or stalled for %v, want %v", time.Duration(stalled.Load()), want)
+		if w.beginTurn() || stalledFor() != want {
+			t.Errorf("second turn, or stalled for %v, want %v", stalledFor(), want)
 		}
 	}
-	if n := strings.Count(log.String(), "TestWatchdogCountsTicks"); n != 1 {
+	if n := strings.Count(log.String(), "TestLoopWatchdogCountsTicks"); n != 1 {
 		t.Errorf("the log has the stack of this test %d times, want once:\n%s", n, log.String())
 	}
 	w.endTurn()
-	if !w.beginTurn() || stalled.Load() != 0 {
-		t.Errorf("no turn, or stalled for %v, after the loop has run", time.Duration(stalled.Load()))
+	if !w.beginTurn() || stalledFor() != 0 {
+		t.Errorf("no turn, or stalled for %v, after the loop has run", stalledFor())
 	}
 }
 
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -13,6 +13,7 @@
 	"github.com/panjf2000/gnet/v2"
 
 	"quillshunt/internal/limits"
+	"quillshunt/internal/watchdog"
 )
 
 // Handler handles a request on the server's event loop. It must not block. The response may be sent
@@ -43,14 +44,16 @@
 type Server struct {
 	options      ServerOptions
 	machineConns atomic.Int64 // open connections from machines
-	loopStalled  atomic.Int64 // see LoopStalledFor, in nanoseconds
+	loopWatchdog *watchdog.Watchdog
 	activity     activityRecorder
 
 	handlerMu sync.Mutex // held by ServeConn while the handler runs; Run has one goroutine for it
 }
 
 // NewServer returns a server; Run makes it listen.
-func NewServer(options ServerOptions) *Server { return &Server{options: options} }
+func NewServer(options ServerOptions) *Server {
+	return &Server{options: options, loopWatchdog: newLoopWatchdog(options.Log, options.Addr)}
+}
 
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() string { return s.options.Addr }
@@ -160,7 +163,7 @@
 
 // LoopStalledFor returns for how long the event loop has been found not to run, at the last check, or 0 if it
 // runs. No request is answered then. It may be called by any goroutine.
-func (s *Server) LoopStalledFor() time.Duration { return time.Duration(s.loopStalled.Load()) }
+func (s *Server) LoopStalledFor() time.Duration { return s.loopWatchdog.StalledFor() }
 
 // checkAddressFree returns an error if another process listens on the address. The event loop would not
 // fail then: with SO_REUSEPORT it would share the address with that process.
