Replace a leader whose scheduler does not go on

The leader's other goroutines went on to renew its lease and its votes, so for the other controllers it was healthy.

Cause: entitlement depends on the lease and the votes alone, and the watchdog that makes a stalled leader hand over watched the event loop only. Besides, a leader that lost the term otherwise would have waited for ever for the goroutine of the term.

Change: a second watchdog checks every 2 s whether the actor still processes the same message. After a worker lease (TurnStalledTicks) it counts as stalled: by then no worker has been answered for as long as its lease, so that a failover loses nothing that a slow step has not lost. The log has the stacks, and the leader hands over like one whose event loop stands still. A goroutine cannot be ended from outside: if the term has not ended TermEndTimeout later, the elector returns ErrTermDoesNotEnd, and the process ends, so that it is started again. A term that ends late is unaffected, and nobody resigns while no other controller can lead.

--- a/internal/coordination/controller/cluster_test.go
+++ b/internal/coordination/controller/cluster_test.go
@@ -38,6 +38,8 @@
 	options   clusterOptions
 	times     config.WorkerTimes
 
+	blockedEntry blockedEntry
+
 	errorMu      sync.Mutex
 	errorEntries []string // log entries of level ERROR: violations of invariants at run time
 
@@ -71,6 +73,7 @@
 	cancel         context.CancelFunc
 	peerServerDone sync.WaitGroup
 	controller     *Controller
+	failed         chan error // receives the error with which the process has to end
 }
 
 const (
@@ -228,14 +231,14 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	log := slog.New(&errorRecorder{Handler: c.log.Handler(), cluster: c}).With("node", name)
+	log := slog.New(&errorRecorder{Handler: c.log.Handler(), cluster: c, node: name}).With("node", name)
 	controller, err := New(c.settingsOf(name), config.DefaultOptions(), c.network.Dialer(name), log)
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	p := &process{cancel: cancel, controller: controller}
+	p := &process{cancel: cancel, controller: controller, failed: make(chan error, 1)}
 	c.processes[name] = p
-	controller.start(ctx)
+	controller.start(ctx, p.failed)
 	go standin.ServeListener(c.network.Listen(name+":8080"), controller.clientServer)
 	peerListener := c.network.Listen(name + ":8081")
 	p.peerServerDone.Go(func() { _ = controller.peerServer.Serve(ctx, peerListener) })
--- a/internal/coordination/controller/controller.go
+++ b/internal/coordination/controller/controller.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"time"
 
@@ -73,14 +74,14 @@
 		LeaseDuration:  time.Duration(options.Leadership.LeaderLease),
 		VoteLease:      limits.VoteLease(limits.Seconds(s.Deployment.Workers.LeaseS)),
 		RunTerm:        dispatcher.RunTerm,
-		ClientsStalled: func() bool { return c.clientServer.LoopStalledFor() > 0 },
+		ClientsStalled: func() bool { return c.stalledFor() > 0 },
 		Log:            log,
 	})
 	dispatcher.OnTermLost(c.elector.ReportTermLost)
 
 	c.gateway = c.newGateway(shares)
 	c.clientServer = c.newClientServer(shares, sockets)
-	c.peerServer = peer.NewServer(dispatcher, c.elector, peers, c.clientServer.LoopStalledFor)
+	c.peerServer = peer.NewServer(dispatcher, c.elector, peers, c.stalledFor)
 	return c, nil
 }
 
@@ -115,26 +116,36 @@
 	})
 }
 
+// stalledFor returns for how long this process has answered no requests of clients: nobody's if the event loop does
+// not run, or those of all workers if it leads and the scheduler does not go on. It is 0 if both go on.
+func (c *Controller) stalledFor() time.Duration {
+	return max(c.clientServer.LoopStalledFor(), c.dispatcher.StalledFor())
+}
+
 // start starts the gateway's background work and the elector. It returns at once; both run until the
-// context ends.
-func (c *Controller) start(ctx context.Context) {
+// context ends. Before that, an error of the elector is sent to failed, after which the process must end.
+func (c *Controller) start(ctx context.Context, failed chan<- error) {
 	c.gateway.Start(ctx)
-	go c.elector.Run(ctx)
+	go func() {
+		if err := c.elector.Run(ctx); err != nil {
+			failed <- fmt.Errorf("take part in elections: %w", err)
+		}
+	}()
 }
 
-// Run starts the controller and serves requests until the context ends or a server fails permanently.
-// It returns the result of the server that stopped first. Run must be called only once, and the
+// Run starts the controller and serves requests until the context ends, a server fails permanently, or a term of
+// this controller does not end. It returns the result of what stopped first. Run must be called only once, and the
 // process should exit when it returns. Run does not wait for goroutines that are still running, because
 // all of their work can be interrupted safely at any point.
 func (c *Controller) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	c.start(ctx)
-	serverErrors := make(chan error, 3)
+	results := make(chan error, 4)
+	c.start(ctx, results)
 	if addr := c.options.Metrics.Listen; addr != "" {
-		go func() { serverErrors <- c.metrics.Run(ctx, addr) }()
+		go func() { results <- c.metrics.Run(ctx, addr) }()
 	}
-	go func() { serverErrors <- c.peerServer.Run(ctx, c.settings.PeerBind) }()
-	go func() { serverErrors <- c.clientServer.Run(ctx) }()
-	return <-serverErrors
+	go func() { results <- c.peerServer.Run(ctx, c.settings.PeerBind) }()
+	go func() { results <- c.clientServer.Run(ctx) }()
+	return <-results
 }
--- a/internal/coordination/controller/scenarios_test.go
+++ b/internal/coordination/controller/scenarios_test.go
@@ -126,7 +126,7 @@
 		}
 	}
 	scenarios := slices.Concat(
-		generalScenarios, cancellationScenarios, failoverScenarios, workerScenarios, gangScenarios)
+		generalScenarios, cancellationScenarios, failoverScenarios, stallScenarios, workerScenarios, gangScenarios)
 	for _, sc := range scenarios {
 		for _, seed := range seeds {
 			t.Run(fmt.Sprintf("%s/%d", sc.name, seed), func(t *testing.T) {
--- a/internal/coordination/election/campaign.go
+++ b/internal/coordination/election/campaign.go
@@ -22,8 +22,8 @@
 }
 
 // campaign tries to start a new term with this controller as the leader, under the given
-// conditions. It runs the term if it wins. It returns nil after a term that it ran, or if the
-// election was lost to another controller.
+// conditions. It runs the term if it wins. It returns nil after a term that it ran and that has ended, or
+// if the election was lost to another controller.
 func (e *Elector) campaign(ctx context.Context, conditions ...protocol.Condition) error {
 	last, termVersion, err := e.readTerm(ctx)
 	if err != nil {
@@ -55,8 +55,7 @@
 	if e.needsVotes() {
 		l.requireQuorum(sentAt.Add(limits.LeaseValidFor(e.voter.voteLease)))
 	}
-	e.lead(ctx, l, leaseID)
-	return nil
+	return e.lead(ctx, l, leaseID)
 }
 
 // readTerm returns the term record and the version of the term key, which is 0 before the first election. The next
--- a/internal/coordination/election/election.go
+++ b/internal/coordination/election/election.go
@@ -35,6 +35,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -76,14 +77,17 @@
 type Options struct {
 	Node          string // the controller's own name
 	Store         Store
-	Peers         Peers                                    // nil for a single controller, which needs no votes
-	LeaseDuration time.Duration                            // of the leader lease
-	VoteLease     time.Duration                            // how long a vote is valid; 0 if leadership needs no votes
-	RunTerm       func(ctx context.Context, l *Leadership) // runs a term; must return soon after ctx ends
+	Peers         Peers         // nil for a single controller, which needs no votes
+	LeaseDuration time.Duration // of the leader lease
+	VoteLease     time.Duration // how long a vote is valid; 0 if leadership needs no votes
 	Log           *slog.Logger
 
-	// ClientsStalled reports whether this process answers no requests of users and workers any more,
-	// although it runs. If nil, it always answers them.
+	// RunTerm runs a term. It must return within limits.TermEndTimeout after ctx ends.
+	RunTerm func(ctx context.Context, l *Leadership)
+
+	// ClientsStalled reports whether this process answers no requests of users or workers any more,
+	// although it runs: its event loop or, while it leads, its scheduler does not go on. If nil, it always
+	// answers them.
 	ClientsStalled func() bool
 
 	// SchedulingDelay measures how late this process runs because its CPU is busy. If nil,
@@ -173,23 +177,27 @@
 }
 
 // Run takes part in elections until ctx ends, and runs the terms that this controller wins. It
-// returns after every goroutine that it started has ended.
-func (e *Elector) Run(ctx context.Context) {
+// returns nil after every goroutine that it started has ended, or ErrTermDoesNotEnd, after which the process
+// must end.
+func (e *Elector) Run(ctx context.Context) error {
 	var backoff storage.Backoff
 	for ctx.Err() == nil {
 		err := e.followOrCampaign(ctx)
-		if ctx.Err() != nil {
-			return
-		}
-		if err == nil {
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case errors.Is(err, ErrTermDoesNotEnd):
+			return err
+		case err == nil:
 			backoff.Reset()
 			continue
 		}
 		e.options.Log.Debug("election attempt failed; retrying", "err", err)
 		if !backoff.Wait(ctx) {
-			return
+			return nil
 		}
 	}
+	return nil
 }
 
 // followOrCampaign reads the leader key once. If another controller leads, it follows that leader;
--- a/internal/coordination/election/handover_test.go
+++ b/internal/coordination/election/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"testing"
 	"testing/synctest"
@@ -117,6 +118,48 @@
 	}
 }
 
+// TestStuckTermEndsTheProcess guards against a leader that keeps lease and votes for ever although the goroutine of its
+// term does not go on: it hands over, and as its term does not end, its elector returns an error, so that the process
+// ends and is started again. A term that ends late but in time has no such effect.
+func TestStuckTermEndsTheProcess(t *testing.T) {
+	for name, stuckForever := range map[string]bool{"ends late": false, "never ends": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(3, 9)
+				defer c.crash()
+				c.start()
+				time.Sleep(5 * time.Second)
+				stuck := c.leader()
+				if stuck == nil {
+					t.Fatal("no leader was elected")
+				}
+				stuck.setStalled(true)
+				release := stuck.setStuck()
+				resigned := stuck.entitledLeadership()
+				k := &invariantChecker{t: t, cluster: c, leaderships: map[uint64]*Leadership{}}
+				for end := time.Now().Add(limits.LeaderLease / 2); resigned.IsEntitled() && time.Now().Before(end); {
+					k.runFor(time.Second)
+				}
+				if !stuckForever {
+					k.runFor(limits.TermEndTimeout / 2)
+					stuck.setStalled(false)
+					release()
+				}
+				k.runFor(limits.LeaderLease / 2)
+				if leader := c.leader(); leader == nil || leader == stuck {
+					t.Errorf("the leader is %v, want another one than the stuck one", leader)
+				}
+				if err := stuck.electionError(); errors.Is(err, ErrTermDoesNotEnd) != stuckForever {
+					t.Errorf("the elector of the stuck leader returned %v; never ends: %v", err, stuckForever)
+				}
+				if stuckForever {
+					release()
+				}
+			})
+		})
+	}
+}
+
 // successorPeers simulates other controllers, one of which can reach the state service. It calls
 // onOffer for each offer of the leadership.
 type successorPeers struct {
--- a/internal/coordination/election/lead.go
+++ b/internal/coordination/election/lead.go
@@ -10,19 +10,18 @@
 	"quillshunt/internal/storage"
 )
 
+// ErrTermDoesNotEnd is returned by Run if the goroutine of a term goes on although the term is over. It cannot be
+// ended from outside, so the process has to end.
+var ErrTermDoesNotEnd = errors.New("the goroutine of the term does not end")
+
 // lead runs a term until it is over, and meanwhile renews the leader lease and the quorum lease. It
-// returns after every goroutine of the term has ended.
-func (e *Elector) lead(ctx context.Context, l *Leadership, leaseID uint64) {
+// returns after every goroutine of the term has ended, or ErrTermDoesNotEnd.
+func (e *Elector) lead(ctx context.Context, l *Leadership, leaseID uint64) error {
 	e.options.Log.Info("term started", "term", l.Term, "last_token", l.LastFencingToken(), "key_version", l.KeyVersion)
 	e.setLeader(e.options.Node)
 	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	var wg sync.WaitGroup
-	defer func() {
-		cancel()
-		wg.Wait()
-		e.setLeader("")
-		e.options.Log.Info("term ended", "term", l.Term)
-	}()
 	termDone := make(chan struct{})
 	wg.Go(func() {
 		defer close(termDone)
@@ -32,6 +31,33 @@
 		wg.Go(func() { e.maintainQuorumLease(ctx, l) })
 	}
 	e.maintainLease(ctx, l, leaseID, termDone)
+	cancel()
+	ended := waitAtMost(limits.TermEndTimeout, &wg)
+	e.setLeader("")
+	if !ended {
+		e.options.Log.Error("term does not end", "term", l.Term)
+		return ErrTermDoesNotEnd
+	}
+	e.options.Log.Info("term ended", "term", l.Term)
+	return nil
+}
+
+// waitAtMost waits until all goroutines of a group have ended, but at most for the given time. It reports whether they
+// have ended.
+func waitAtMost(timeout time.Duration, group *sync.WaitGroup) bool {
+	ended := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(ended)
+	}()
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-ended:
+		return true
+	case <-timer.C:
+		return false
+	}
 }
 
 // maintainLease renews the leader lease until it expires, the term is over, or the leadership is
--- a/internal/coordination/election/node_test.go
+++ b/internal/coordination/election/node_test.go
@@ -113,11 +113,13 @@
 	done          chan struct{}
 
 	mu            sync.Mutex
-	elector       *Elector    // nil after a crash
-	leadership    *Leadership // nil while this node does not lead
-	busy          bool        // the process reports a scheduling delay
-	stalled       bool        // the process answers no requests of clients
-	isolatedUntil time.Time   // until then, calls to and from other nodes fail
+	elector       *Elector      // nil after a crash
+	leadership    *Leadership   // nil while this node does not lead
+	busy          bool          // the process reports a scheduling delay
+	stalled       bool          // the process answers no requests of clients
+	stuck         chan struct{} // unless nil, no term ends before this is closed
+	runError      error         // result of the elector, once it has ended
+	isolatedUntil time.Time     // until then, calls to and from other nodes fail
 }
 
 // start starts the process of the node.
@@ -143,7 +145,7 @@
 	n.mu.Unlock()
 	go func() {
 		defer close(n.done)
-		e.Run(ctx)
+		n.setRunError(e.Run(ctx))
 	}()
 }
 
@@ -159,6 +161,9 @@
 func (n *node) runTerm(ctx context.Context, l *Leadership) {
 	n.setLeadership(l)
 	<-ctx.Done()
+	if stuck := n.stuckTerm(); stuck != nil {
+		<-stuck
+	}
 	n.setLeadership(nil)
 }
 
@@ -209,6 +214,34 @@
 	n.stalled = stalled
 }
 
+// setStuck makes the terms of the node go on until the returned function is called.
+func (n *node) setStuck() (release func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	stuck := make(chan struct{})
+	n.stuck = stuck
+	return func() { close(stuck) }
+}
+
+func (n *node) stuckTerm() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.stuck
+}
+
+func (n *node) setRunError(err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.runError = err
+}
+
+// electionError returns the result of the node's elector, or nil if it has not ended.
+func (n *node) electionError() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.runError
+}
+
 func (n *node) setBusy() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/coordination/leader/dispatcher.go
+++ b/internal/coordination/leader/dispatcher.go
@@ -79,6 +79,16 @@
 	return t != nil && t.leadership.IsEntitled()
 }
 
+// StalledFor returns for how long the actor of the current term has been processing the same message, at the last
+// check, or 0 if it goes on or this process does not lead. No worker is answered and no cancellation confirmed then.
+func (d *Dispatcher) StalledFor() time.Duration {
+	t := d.currentActor.Load()
+	if t == nil {
+		return 0
+	}
+	return t.turns.watchdog.StalledFor()
+}
+
 // HandleHeartbeat passes a worker's heartbeat to the actor. It never blocks: if this process does not
 // lead or too many heartbeats wait, the heartbeat is answered with 503 at once. sameConnection means that
 // the previous heartbeat on the same connection was answered with 200 and that the worker, as it has
@@ -195,6 +205,7 @@
 
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	go t.turns.watch(ctx)
 	revision, ok := t.loadState(ctx)
 	if !ok {
 		return
--- a/internal/coordination/leader/load.go
+++ b/internal/coordination/leader/load.go
@@ -19,10 +19,11 @@
 	if !ok {
 		return 0, false
 	}
-	for _, event := range events {
+	for _, event := range append(events, scheduler.StateLoaded{}) {
+		t.turns.begin()
 		t.step(ctx, event)
 	}
-	t.step(ctx, scheduler.StateLoaded{})
+	t.turns.end()
 	t.leadership.SetObservedRevision(revision)
 	return revision, true
 }
--- a/internal/coordination/leader/term_actor.go
+++ b/internal/coordination/leader/term_actor.go
@@ -29,6 +29,7 @@
 	mailbox       chan message // all other messages
 	cancellations *processedCancellations
 	scheduler     *scheduler.Scheduler
+	turns         turnWatch
 	writes        writeQueue
 	toWriter      chan scheduler.WriteRecords // received by the writer's goroutine
 	workerClients workerClientPool
@@ -89,6 +90,7 @@
 			TermKeyVersion:   leadership.KeyVersion, // the election writes both keys
 		}, 0),
 	}
+	actor.turns.watchdog = newTurnWatchdog(actor.log, limits.Seconds(facts.Workers.LeaseS))
 	actor.lastFencingToken.Store(actor.scheduler.LastFencingToken())
 	return actor
 }
@@ -105,6 +107,7 @@
 	tick := time.NewTicker(limits.TickInterval)
 	defer tick.Stop()
 	for {
+		t.turns.end()
 		var toWriter chan scheduler.WriteRecords // nil, and thus never ready, if no write waits
 		next, waiting := t.writes.peek()
 		if waiting {
@@ -116,12 +119,15 @@
 		case toWriter <- next:
 			t.writes.pop()
 		case <-tick.C:
+			t.turns.begin()
 			t.workerClients.evict(t.dispatcher.sockets.ExcessOutbound())
 			t.step(ctx, scheduler.Tick{Entitled: t.leadership.IsEntitled()})
 		// If both queues have messages, select takes from either with the same probability.
 		case heartbeat := <-t.heartbeats:
+			t.turns.begin()
 			t.handleHeartbeat(ctx, heartbeat)
 		case msg := <-t.mailbox:
+			t.turns.begin()
 			t.handleMessage(ctx, msg)
 		}
 	}
--- a/internal/limits/leadership.go
+++ b/internal/limits/leadership.go
@@ -51,6 +51,24 @@
 	HandoverAttempts = 3
 )
 
+// A scheduler that does not go on.
+const (
+	// TurnCheckInterval is the time between two checks of whether the leader's scheduler goes on.
+	TurnCheckInterval = 2 * time.Second
+	// MinTurnStalledTicks is the least result of TurnStalledTicks.
+	MinTurnStalledTicks = 4
+	// TermEndTimeout is how long a controller waits for its term to end after it has given up the leadership. A
+	// term that does not end then never will, and the process ends instead.
+	TermEndTimeout = 10 * time.Second
+)
+
+// TurnStalledTicks returns the number of checks in a row, TurnCheckInterval apart, after which a scheduler that still
+// processes the same message counts as stalled. No worker has been answered for as long as its lease by then, so a
+// failover loses nothing that a slow step has not lost already.
+func TurnStalledTicks(workerLease time.Duration) int {
+	return max(int((workerLease+TurnCheckInterval-1)/TurnCheckInterval), MinTurnStalledTicks)
+}
+
 // Votes of the quorum lease.
 const (
 	// VoteLeaseShare is the duration of a vote as a share of the duration of a worker lease. The duration is
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -79,3 +79,14 @@
 		}
 	}
 }
+
+// TestTurnStalledTicks checks that a scheduler counts as stalled only after a worker lease without a reply.
+func TestTurnStalledTicks(t *testing.T) {
+	for lease, want := range map[time.Duration]int{
+		time.Second: MinTurnStalledTicks, 14 * time.Second: 7, 15 * time.Second: 8, 16 * time.Second: 8,
+	} {
+		if got := TurnStalledTicks(lease); got != want {
+			t.Errorf("%d ticks with a worker lease of %v, want %d", got, lease, want)
+		}
+	}
+}
--- a/internal/storage/finished_tasks_test.go
+++ b/internal/storage/finished_tasks_test.go
@@ -77,7 +77,8 @@
 			t.Errorf("with a limit of %v KiB a chunk has %d tasks", valueKB, tasks)
 		}
 		if machines := MaxRentalMachines(valueKB); machines != limits.MaxRentalSize {
-			t.Errorf("with a limit of %v KiB a rental has up to %d machines, want %d", valueKB, machines, limits.MaxRentalSize)
+			t.Errorf("with a limit of %v KiB a rental has up to %d machines, want %d",
+				valueKB, machines, limits.MaxRentalSize)
 		}
 	}
 }
--- a/internal/watchdog/watchdog_test.go
+++ b/internal/watchdog/watchdog_test.go
@@ -8,9 +8,9 @@
 	"time"
 )
 
-// TestWatchdogCountsTicks checks when a goroutine counts as stalled: after StalledTicks ticks in a row without progress,
-// however much time has passed, as a process that was stopped has no ticks. The log has the stacks of all goroutines
-// once.
+// TestWatchdogCountsTicks checks when a goroutine counts as stalled: after StalledTicks ticks in a row without
+// progress, however much time has passed, as a process that was stopped has no ticks. The log has the stacks of all
+// goroutines once.
 func TestWatchdogCountsTicks(t *testing.T) {
 	const interval, stalledTicks = 2 * time.Second, 4
 	var log bytes.Buffer
