Let no demand fit where nothing is available

The tolerance for rounding errors, a millionth, is larger than a valid amount may be. A task with 1e-7 CPUs "fitted" on a full machine, which ranks first, as it is packed best: a worker that has no room refuses it, and it is placed there again at once, while another machine has room.

Cause: demands were compared with an absolute tolerance, also in sums in which a tiny demand does not show.

Change: resource.Fits owns the comparison; its tolerance is at most a thousandth of the demand, so nothing changes for demands of a thousandth and more. Free resources and what is left of limits are compared, not sums, and the victims cover Vector.Shortfall, in which a resource that fits does not count as short by a rounding error.

Evidence: TestTinyTasksNeedRoom failed on the untouched code in all three parts (on the full machine although the second one has room, beyond the team's limit, nothing preempted). TestFits is new; TestPassMatchesNaivePlacement holds in 20,000 cases, and the soak and the tests of the scheduler pass. Whether the operators' workers compare with a tolerance of their own is not known.

--- a/internal/coordination/resource/resource.go
+++ b/internal/coordination/resource/resource.go
@@ -44,13 +44,35 @@
 	}
 }
 
-// Covers reports whether the vector has at least the demanded amount of every resource, within the rounding
-// tolerance limits.Epsilon.
+// Fits reports whether a demanded amount is available, apart from rounding errors: within limits.Epsilon, but within
+// limits.EpsilonShare of a demand that is not much larger, so that no demand fits where nothing is available.
+func Fits(demand, available float64) bool {
+	tolerance := limits.Epsilon
+	if demand > 0 {
+		tolerance = min(tolerance, demand*limits.EpsilonShare)
+	}
+	return demand <= available+tolerance
+}
+
+// Covers reports whether the demanded amount of every resource is available in the vector; see Fits.
 func (v Vector) Covers(demand Vector) bool {
-	const eps = limits.Epsilon
-	return demand.CPUs <= v.CPUs+eps &&
-		demand.Accelerators <= v.Accelerators+eps &&
-		demand.MemoryGB <= v.MemoryGB+eps
+	return Fits(demand.CPUs, v.CPUs) && Fits(demand.Accelerators, v.Accelerators) && Fits(demand.MemoryGB, v.MemoryGB)
+}
+
+// Shortfall returns how much of the demand is not available in the vector. The amount of a resource that fits is 0.
+func (v Vector) Shortfall(demand Vector) Vector {
+	return Vector{
+		shortfall(demand.CPUs, v.CPUs),
+		shortfall(demand.Accelerators, v.Accelerators),
+		shortfall(demand.MemoryGB, v.MemoryGB),
+	}
+}
+
+func shortfall(demand, available float64) float64 {
+	if Fits(demand, available) {
+		return 0
+	}
+	return demand - available
 }
 
 // TasksThatFit returns how many tasks with the given demand fit into the vector at the same time, at most
--- a/internal/coordination/resource/resource_test.go
+++ b/internal/coordination/resource/resource_test.go
@@ -74,3 +74,33 @@
 		}
 	}
 }
+
+// TestFits guards against demands below the tolerance for rounding errors: they must not fit where nothing is
+// available, while amounts that are equal but for rounding errors fit.
+func TestFits(t *testing.T) {
+	for _, c := range []struct {
+		demand, available float64
+		want              bool
+	}{
+		{0, 0, true},
+		{0, -1e-9, true},
+		{5e-324, 5e-324, true},
+		{5e-324, 0, false},
+		{1e-9, 0, false},
+		{1e-7, 0, false},
+		{1e-7, -1e-16, false},
+		{1e-7, 1e-7, true},
+		{1e-3, 1e-3 - limits.Epsilon/2, true},
+		{0.1, 0.1 - limits.Epsilon/2, true},
+		{4, 4 - limits.Epsilon/2, true},
+		{4, 4 - limits.Epsilon*2, false},
+	} {
+		if got := Fits(c.demand, c.available); got != c.want {
+			t.Errorf("%v fits into %v: %v, want %v", c.demand, c.available, got, c.want)
+		}
+	}
+	demand, free := Vector{CPUs: 4, Accelerators: 1e-7, MemoryGB: 8}, Vector{CPUs: 1, MemoryGB: 8 - 1e-12}
+	if got, want := free.Shortfall(demand), (Vector{CPUs: 3, Accelerators: 1e-7}); got != want {
+		t.Errorf("shortfall %+v, want %+v", got, want)
+	}
+}
--- a/internal/coordination/scheduler/commands.go
+++ b/internal/coordination/scheduler/commands.go
@@ -84,7 +84,7 @@
 		case a.job.gang != nil:
 			t.withhold(WithheldGang, 1)
 			continue
-		case !capacity.Covers(committed.Plus(a.job.demand)):
+		case !capacity.Minus(committed).Covers(a.job.demand):
 			t.withhold(WithheldResources, 1)
 			continue
 		default:
--- a/internal/coordination/scheduler/feasibility.go
+++ b/internal/coordination/scheduler/feasibility.go
@@ -4,7 +4,6 @@
 	"slices"
 
 	"quillshunt/internal/coordination/resource"
-	"quillshunt/internal/limits"
 	"quillshunt/internal/protocol"
 )
 
@@ -17,8 +16,8 @@
 		simultaneousTasks = float64(spec.Tasks)
 	}
 	return fitsSomeType(spec, types) &&
-		simultaneousTasks*spec.CPUs <= cpusMax+limits.Epsilon &&
-		simultaneousTasks*spec.Accelerators <= gpusMax+limits.Epsilon
+		resource.Fits(simultaneousTasks*spec.CPUs, cpusMax) &&
+		resource.Fits(simultaneousTasks*spec.Accelerators, gpusMax)
 }
 
 // fitsSomeType reports whether a task of the job fits on a machine type that is allowed and offered in its zone.
--- a/internal/coordination/scheduler/gang_table.go
+++ b/internal/coordination/scheduler/gang_table.go
@@ -134,7 +134,7 @@
 		if m.registration != registered || !t.isSchedulable(m) {
 			return false
 		}
-		if !m.capacity().Covers(m.committedResources().Plus(d)) {
+		if !m.capacity().Minus(m.committedResources()).Covers(d) {
 			return false
 		}
 	}
--- a/internal/coordination/scheduler/team.go
+++ b/internal/coordination/scheduler/team.go
@@ -3,7 +3,6 @@
 import (
 	"quillshunt/internal/config"
 	"quillshunt/internal/coordination/resource"
-	"quillshunt/internal/limits"
 )
 
 // team is a team with its guarantee and limit from the settings, and the resources that count against
@@ -16,15 +15,14 @@
 
 // isWithinLimit reports whether the team stays within its limit if it uses the given resources in addition.
 func (t *team) isWithinLimit(demand resource.Vector) bool {
-	const eps = limits.Epsilon
-	return t.allocated.CPUs+demand.CPUs <= t.cfg.MaxCPUs+eps &&
-		t.allocated.Accelerators+demand.Accelerators <= t.cfg.MaxGPUs+eps
+	return resource.Fits(demand.CPUs, t.cfg.MaxCPUs-t.allocated.CPUs) &&
+		resource.Fits(demand.Accelerators, t.cfg.MaxGPUs-t.allocated.Accelerators)
 }
 
 // guaranteeCovers reports whether the team's guarantee is at least as large as the given resources.
 func (t *team) guaranteeCovers(demand resource.Vector) bool {
-	const eps = limits.Epsilon
-	return demand.CPUs <= t.cfg.GuaranteedCPUs+eps && demand.Accelerators <= t.cfg.GuaranteedGPUs+eps
+	return resource.Fits(demand.CPUs, t.cfg.GuaranteedCPUs) &&
+		resource.Fits(demand.Accelerators, t.cfg.GuaranteedGPUs)
 }
 
 // isBorrowing reports whether the team uses more resources than it is guaranteed.
--- a/internal/coordination/scheduler/victims.go
+++ b/internal/coordination/scheduler/victims.go
@@ -17,7 +17,7 @@
 		return nil, true
 	}
 	options := p.preemptionOptions(j, best.Target, planned)
-	chosen := placement.CheapestVictims(options, j.demand.Minus(planned.freeResources(best.Target)))
+	chosen := placement.CheapestVictims(options, planned.freeResources(best.Target).Shortfall(j.demand))
 	if chosen == nil {
 		return nil, false
 	}
--- a/internal/limits/wire.go
+++ b/internal/limits/wire.go
@@ -34,4 +34,6 @@
 	// Epsilon is the tolerance for rounding errors in comparisons of amounts. Amounts of the protocol have
 	// a few decimals.
 	Epsilon = 1e-6
+	// EpsilonShare is the share of a demand by which the tolerance is limited, so that it is below any demand.
+	EpsilonShare = 1e-3
 )
