Bound the number of tasks that one placement pass places

A job may have 100,000 tasks, and a pass placed all of them in one step. 64,000 tasks that preempt others on 1,000 machines took 1.9 s of a whole core, so a controller with a seventh of a core would answer no worker for about a worker's lease.

Change: after MaxPlacementsPerPass, 5,000, a pass leaves the rest to the next one, which it requests; heartbeats and questions that wait are processed in between. A gang is placed as a whole. No machine is reserved for tasks that the next pass may place.

--- a/internal/coordination/scheduler/gang_placement.go
+++ b/internal/coordination/scheduler/gang_placement.go
@@ -119,6 +119,7 @@
 // handleGangPlaced updates the state of the pass after a gang was placed: the machines it uses are no longer
 // reserved, its victims have freed resources, and requests that failed may succeed now.
 func (p *placer) handleGangPlaced(found *gangPlacement) {
+	p.pass.placementsLeft -= len(found.tasks)
 	for _, task := range found.tasks {
 		task.machine.reservedFor = nil
 	}
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -24,6 +24,9 @@
 	s.replaceLostGangTasks()
 	s.placeStarvedTasks()
 	for _, j := range jobs {
+		if !s.placement.mayPlaceMore() {
+			return
+		}
 		if j.gang != nil {
 			s.placeGang(j)
 			continue
@@ -46,6 +49,9 @@
 			continue
 		}
 		s.placeJob(j, starved)
+		if !s.placement.mayPlaceMore() {
+			return // no machine is reserved for tasks that the next pass may place
+		}
 		s.placement.reserveForJob(j)
 	}
 }
@@ -63,7 +69,7 @@
 	}
 	preempting := search.request.preempting
 	candidates := s.placement.collectCandidates(j, preempting)
-	for ; count > 0 && j.team.isWithinLimit(j.demand); count-- {
+	for ; count > 0 && j.team.isWithinLimit(j.demand) && s.placement.mayPlaceMore(); count-- {
 		group := candidates.BestGroup()
 		if group < 0 {
 			s.placement.handleSearchFailed(&search)
--- a/internal/coordination/scheduler/placer.go
+++ b/internal/coordination/scheduler/placer.go
@@ -38,6 +38,7 @@
 	withFreeResources []*machine      // those with free resources for at least minDemand
 	maxFreeResources  resource.Vector // upper bound of their free resources, per resource
 	reservationsLeft  int             // number of machines that may still be reserved; see reserveForJob
+	placementsLeft    int             // number of tasks that may still be placed; see mayPlaceMore
 
 	unplaceable      map[placementRequest]bool // requests for which no machine was found in this pass
 	unplaceableGangs map[gangRequest]bool
@@ -127,9 +128,20 @@
 			pass.maxFreeResources = pass.maxFreeResources.Max(free)
 		}
 	}
+	pass.placementsLeft = limits.MaxPlacementsPerPass
 	pass.reservationsLeft = (len(pass.machines) + limits.MachinesPerReservation - 1) / limits.MachinesPerReservation
 }
 
+// mayPlaceMore reports whether the pass may place more tasks. If it has placed limits.MaxPlacementsPerPass, the rest
+// is left to another pass, which it requests, so that the heartbeats that wait meanwhile are processed first.
+func (p *placer) mayPlaceMore() bool {
+	if p.pass.placementsLeft <= 0 {
+		p.requestPass()
+		return false
+	}
+	return true
+}
+
 // endPass ends a pass: later changes of machines do not concern it.
 func (p *placer) endPass() {
 	p.pass.unreserved.reset()
@@ -206,6 +218,7 @@
 // reservation. startsBorrowing reports that the team now uses more than its guarantee, so that its tasks may
 // now be preempted by other teams.
 func (p *placer) handleTaskPlaced(m *machine, victims []*assignment, startsBorrowing bool) {
+	p.pass.placementsLeft--
 	m.reservedFor = nil
 	if len(victims) > 0 {
 		p.pass.addFreedMachine(m) // the victims may free more resources than the task needs
--- a/internal/limits/queue.go
+++ b/internal/limits/queue.go
@@ -14,6 +14,9 @@
 	// MaxDecisionPause is the longest pause after a pass or plan. A process that was stopped during one should
 	// not wait in proportion to that.
 	MaxDecisionPause = 5 * time.Second
+	// MaxPlacementsPerPass is the number of tasks after which a placement pass leaves the rest to the next one. It
+	// bounds the time of a pass, as a job may have 100,000 tasks. A gang is placed as a whole and may exceed it.
+	MaxPlacementsPerPass = 5000
 	// QueueOrderTTL is how long the computed order of the queue is reused. Slacks of many seconds hardly
 	// change in that time.
 	QueueOrderTTL = 200 * time.Millisecond
