Answer heartbeats at once after a handover, and wait longer for a slow term

Cause: found on reading the change again. A worker that reported to a leader which had handed over but whose scheduler hangs waited for 4 s each time. And with ten seconds for the end of a term, a pass of 11 s, which has been measured on a small processor before passes were bounded, could have ended the process of a healthy controller.

Change: heartbeats get 503 once the leadership has resigned, the leader is unknown to the gateway from the end of the leadership, TermEndTimeout is 30 s, and a method has a clearer name.

--- a/internal/coordination/election/lead.go
+++ b/internal/coordination/election/lead.go
@@ -32,9 +32,8 @@
 	}
 	e.maintainLease(ctx, l, leaseID, termDone)
 	cancel()
-	ended := waitAtMost(limits.TermEndTimeout, &wg)
 	e.setLeader("")
-	if !ended {
+	if !waitAtMost(limits.TermEndTimeout, &wg) {
 		e.options.Log.Error("term does not end", "term", l.Term)
 		return ErrTermDoesNotEnd
 	}
--- a/internal/coordination/election/leadership.go
+++ b/internal/coordination/election/leadership.go
@@ -72,6 +72,9 @@
 	return int64(time.Since(l.startedAt)) < min(l.leaseUntil.Load(), l.quorumUntil.Load())
 }
 
+// HasResigned reports whether the leadership is handed over.
+func (l *Leadership) HasResigned() bool { return l.resigned.Load() }
+
 // SetObservedRevision records that the term has processed all changes of open jobs up to a
 // revision. The next heartbeat record contains the revision.
 func (l *Leadership) SetObservedRevision(revision uint64) { l.observedRevision.Store(revision) }
--- a/internal/coordination/leader/dispatcher.go
+++ b/internal/coordination/leader/dispatcher.go
@@ -89,10 +89,10 @@
 	return t.turns.watchdog.StalledFor()
 }
 
-// HandleHeartbeat passes a worker's heartbeat to the actor. It never blocks: if this process does not
-// lead or too many heartbeats wait, the heartbeat is answered with 503 at once. sameConnection means that
-// the previous heartbeat on the same connection was answered with 200 and that the worker, as it has
-// sent another one, has received that reply.
+// HandleHeartbeat passes a worker's heartbeat to the actor. It never blocks: if this process does not lead
+// or has handed over, or too many heartbeats wait, the heartbeat is answered with 503 at once. sameConnection
+// means that the previous heartbeat on the same connection was answered with 200 and that the worker, as it
+// has sent another one, has received that reply.
 func (d *Dispatcher) HandleHeartbeat(body []byte, sameConnection bool, respond HeartbeatResponderFunc) {
 	d.enqueueHeartbeat(heartbeatMessage{body: body, respond: respond, sameConnection: sameConnection})
 }
@@ -121,7 +121,7 @@
 
 func (d *Dispatcher) enqueueHeartbeat(msg heartbeatMessage) {
 	t := d.currentActor.Load()
-	if t == nil {
+	if t == nil || t.leadership.HasResigned() {
 		msg.respond(http.StatusServiceUnavailable, nil)
 		return
 	}
--- a/internal/coordination/scheduler/filter.go
+++ b/internal/coordination/scheduler/filter.go
@@ -134,9 +134,9 @@
 	return !j.spec.SpreadZones || inZone < j.maxTasksPerZone()
 }
 
-// hasZonesChanged reports whether the zone rules allow other zones since a task of the job was assigned in the given
-// zone.
-func (j *job) hasZonesChanged(zone string) bool {
+// hasNewZones reports whether the zone rules allow other zones than before, after a task of the job was assigned in the
+// given zone.
+func (j *job) hasNewZones(zone string) bool {
 	isFirst := j.spec.SameZone && len(j.assignments) == 1
 	isFull := j.spec.SpreadZones && j.assignedInZone[zone] == j.maxTasksPerZone()
 	return isFirst || isFull
--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -81,7 +81,7 @@
 			return
 		}
 		gangStopped := s.placeTask(j, best.Target, victims)
-		if gangStopped || j.hasZonesChanged(best.Target.zone) {
+		if gangStopped || j.hasNewZones(best.Target.zone) {
 			// Other machines have more free resources or are no longer allowed.
 			s.placement.collectCandidates(j, preempting)
 			continue
--- a/internal/limits/leadership.go
+++ b/internal/limits/leadership.go
@@ -57,9 +57,10 @@
 	TurnCheckInterval = 2 * time.Second
 	// MinTurnStalledTicks is the least result of TurnStalledTicks.
 	MinTurnStalledTicks = 4
-	// TermEndTimeout is how long a controller waits for its term to end after it has given up the leadership. A
-	// term that does not end then never will, and the process ends instead.
-	TermEndTimeout = 10 * time.Second
+	// TermEndTimeout is how long a controller waits for its term to end after it has given up the leadership. The
+	// slowest step on a small processor is far shorter, so a term that has not ended then never will, and the
+	// process ends instead.
+	TermEndTimeout = 30 * time.Second
 )
 
 // TurnStalledTicks returns the number of checks in a row, TurnCheckInterval apart, after which a scheduler that still
