--- a/internal/coordination/election/handover_test.go
+++ b/internal/coordination/election/handover_test.go
@@ -94,12 +94,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := newCluster(3, 9)
 				defer c.crash()
-				c.start()
-				time.Sleep(5 * time.Second)
-				stalled := c.leader()
-				if stalled == nil {
-					t.Fatal("no leader was elected")
-				}
+				stalled := c.startAndElect(t, 5*time.Second)
 				term := stalled.entitledLeadership().Term
 				for _, n := range c.nodes {
 					n.setStalled(n == stalled || allStalled)
@@ -127,12 +122,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := newCluster(3, 9)
 				defer c.crash()
-				c.start()
-				time.Sleep(5 * time.Second)
-				stuck := c.leader()
-				if stuck == nil {
-					t.Fatal("no leader was elected")
-				}
+				stuck := c.startAndElect(t, 5*time.Second)
 				stuck.setStalled(true)
 				release := stuck.setStuck()
 				resigned := stuck.entitledLeadership()
--- a/internal/coordination/election/late_campaign_test.go
+++ b/internal/coordination/election/late_campaign_test.go
@@ -62,12 +62,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(5, 4)
 		defer c.crash()
-		c.start()
-		time.Sleep(15 * time.Second)
-		leader := c.leader()
-		if leader == nil {
-			t.Fatal("no leader was elected")
-		}
+		leader := c.startAndElect(t, 15*time.Second)
 		isolate := func(until time.Time) {
 			leader.isolate(until)
 			leader.store.setRejected(until)
--- a/internal/coordination/election/node_test.go
+++ b/internal/coordination/election/node_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"testing"
 	"time"
 
 	"quillshunt/internal/limits"
@@ -96,6 +97,18 @@
 	}
 }
 
+// startAndElect starts all nodes, lets them run for a while and returns the leader. The test fails if there is none.
+func (c *cluster) startAndElect(t *testing.T, running time.Duration) *node {
+	t.Helper()
+	c.start()
+	time.Sleep(running)
+	leader := c.leader()
+	if leader == nil {
+		t.Fatal("no leader was elected")
+	}
+	return leader
+}
+
 func (c *cluster) crash() {
 	for _, n := range c.nodes {
 		n.crash()
