A pass that has placed its tasks takes no starved gang either

The bound on the tasks of a pass was not checked before a starved gang, so that a pass could place any number of these.

--- a/internal/coordination/scheduler/place.go
+++ b/internal/coordination/scheduler/place.go
@@ -39,6 +39,9 @@
 // For tasks that no machine has room for, it reserves machines.
 func (s *Scheduler) placeStarvedTasks() {
 	for _, j := range s.queue.starvedJobs() {
+		if !s.placement.mayPlaceMore() {
+			return
+		}
 		starved := s.queue.starvedTasks(j)
 		if starved <= 0 || !j.isWithinTeamLimit() || s.now < j.retryAt {
 			continue
