--- a/internal/coordination/scheduler/checkpoint_interval_test.go
+++ b/internal/coordination/scheduler/checkpoint_interval_test.go
@@ -7,7 +7,6 @@
 
 	"quillshunt/internal/limits"
 	"quillshunt/internal/protocol"
-	"quillshunt/internal/storage"
 )
 
 // stepTimeout is far longer than any step of a test takes, and far shorter than a step that hangs.
@@ -31,11 +30,9 @@
 
 // submitPreemptible opens a job of low priority with one task of 4 CPUs that saves checkpoints at an interval.
 func (f *schedulerFixture) submitPreemptible(id string, checkpointS float64) {
-	f.version++
-	f.step(JobChanged{JobID: id, Version: 100 + f.version, Record: storage.OpenJob{Spec: protocol.Spec{
-		ID: id, Class: "c", Team: "red", Shape: protocol.ShapeArray, Priority: "low", Tasks: 1,
-		CPUs: 4, MemoryGB: 1, Image: "i", EstimateS: 1000, CheckpointS: checkpointS, SaveS: 1,
-	}}})
+	f.submitSpec(protocol.Spec{
+		ID: id, Team: "red", Priority: "low", Tasks: 1, CPUs: 4, EstimateS: 1000, CheckpointS: checkpointS, SaveS: 1,
+	})
 }
 
 // runFor sends heartbeats of machine 0 with the given tasks every two seconds.
--- a/internal/coordination/scheduler/extreme_durations_test.go
+++ b/internal/coordination/scheduler/extreme_durations_test.go
@@ -7,7 +7,6 @@
 	"quillshunt/internal/config"
 	"quillshunt/internal/limits"
 	"quillshunt/internal/protocol"
-	"quillshunt/internal/storage"
 )
 
 // TestExtremeDurationsAreNotInThePast guards against times that are valid but beyond the range of a duration, from
@@ -19,12 +18,10 @@
 		t.Errorf("a job that is due in %v s has the slack %v, late: %v", limits.MaxAmount, slack, late)
 	}
 
-	f.version++
-	f.step(JobChanged{JobID: "job-2", Version: 100 + f.version, Record: storage.OpenJob{Spec: protocol.Spec{
-		ID: "job-2", Class: "c", Team: "red", Shape: protocol.ShapeArray, Priority: "low", Tasks: 1, CPUs: 1,
-		MemoryGB: 1, Image: "i", EstimateS: limits.MaxAmount, CheckpointS: 1, SaveS: limits.MaxAmount, DeadlineS: 100,
-	}}})
-	j := f.scheduler.jobs.find("job-2")
+	j := f.submitSpec(protocol.Spec{
+		ID: "job-2", Team: "red", Priority: "low", Tasks: 1, CPUs: 1,
+		EstimateS: limits.MaxAmount, CheckpointS: 1, SaveS: limits.MaxAmount, DeadlineS: 100,
+	})
 	if slack, late := f.scheduler.queue.slack(j); !late {
 		t.Errorf("a job that runs for %v s and is due in 100 s has the slack %v", limits.MaxAmount, slack)
 	}
--- a/internal/coordination/scheduler/job_class_test.go
+++ b/internal/coordination/scheduler/job_class_test.go
@@ -7,17 +7,13 @@
 
 	"quillshunt/internal/limits"
 	"quillshunt/internal/protocol"
-	"quillshunt/internal/storage"
 )
 
 // submitEstimated opens a job with one task and the given estimate of its run time, which is due in 1000 s.
 func (f *schedulerFixture) submitEstimated(id string, estimateS float64) *job {
-	f.version++
-	f.step(JobChanged{JobID: id, Version: 100 + f.version, Record: storage.OpenJob{Spec: protocol.Spec{
-		ID: id, Class: "c", Team: "red", Shape: protocol.ShapeArray, Priority: "standard", Tasks: 1,
-		CPUs: 1, MemoryGB: 1, Image: "i", EstimateS: estimateS, DeadlineS: 1000,
-	}}})
-	return f.scheduler.jobs.find(id)
+	return f.submitSpec(protocol.Spec{
+		ID: id, Team: "red", Priority: "standard", Tasks: 1, CPUs: 1, EstimateS: estimateS, DeadlineS: 1000,
+	})
 }
 
 // TestTinyEstimateDoesNotSpoilItsClass guards against a user's estimate so low that the ratio of the measured run time
--- a/internal/coordination/scheduler/save_time_test.go
+++ b/internal/coordination/scheduler/save_time_test.go
@@ -6,7 +6,6 @@
 
 	"quillshunt/internal/limits"
 	"quillshunt/internal/protocol"
-	"quillshunt/internal/storage"
 )
 
 // TestLongSaveTimeDoesNotHoldResources guards against a task that holds its resources for as long as its user says that
@@ -22,11 +21,10 @@
 	} {
 		f := newSchedulerFixture(t, 1)
 		f.sendHeartbeat(0)
-		f.version++
-		f.step(JobChanged{JobID: "job-1", Version: 100 + f.version, Record: storage.OpenJob{Spec: protocol.Spec{
-			ID: "job-1", Class: "c", Team: "red", Shape: protocol.ShapeArray, Priority: "low", Tasks: 1,
-			CPUs: 8, MemoryGB: 1, Image: "i", EstimateS: 1000, CheckpointS: 10, SaveS: c.saveS,
-		}}})
+		f.submitSpec(protocol.Spec{
+			ID: "job-1", Team: "red", Priority: "low", Tasks: 1, CPUs: 8,
+			EstimateS: 1000, CheckpointS: 10, SaveS: c.saveS,
+		})
 		running := runningStatus(f.directCommands()[0].Commands[0])
 		f.runFor(10*time.Second, running)
 		f.submitJob("job-2", "blue", "high", 1, 4, 12)
--- a/internal/coordination/scheduler/scheduler_fixture_test.go
+++ b/internal/coordination/scheduler/scheduler_fixture_test.go
@@ -108,11 +108,17 @@
 
 // submitJob opens a job array. The deadline is in seconds; 0 means none.
 func (f *schedulerFixture) submitJob(id, team, priority string, tasks int, cpus float64, deadline float64) {
+	f.submitSpec(protocol.Spec{
+		ID: id, Team: team, Priority: priority, Tasks: tasks, CPUs: cpus, EstimateS: 10, DeadlineS: deadline,
+	})
+}
+
+// submitSpec opens a job array and returns its job. Its class, memory and image are the same for all jobs.
+func (f *schedulerFixture) submitSpec(spec protocol.Spec) *job {
 	f.version++
-	f.step(JobChanged{JobID: id, Version: 100 + f.version, Record: storage.OpenJob{Spec: protocol.Spec{
-		ID: id, Class: "c", Team: team, Shape: protocol.ShapeArray, Priority: priority, Tasks: tasks,
-		CPUs: cpus, MemoryGB: 1, Image: "i", EstimateS: 10, DeadlineS: deadline,
-	}}})
+	spec.Class, spec.Shape, spec.MemoryGB, spec.Image = "c", protocol.ShapeArray, 1, "i"
+	f.step(JobChanged{JobID: spec.ID, Version: 100 + f.version, Record: storage.OpenJob{Spec: spec}})
+	return f.scheduler.jobs.find(spec.ID)
 }
 
 // cancel informs the scheduler of the cancellation of an open job, sinceCancellation after it.
